--- a/command/entry.go
+++ b/command/entry.go
@@ -6,8 +6,8 @@
 	"github.com/urfave/cli/v3"
 
 	"masticbay/entry"
-	"masticbay/platform"
 	"masticbay/setting"
+	"masticbay/store"
 )
 
 func entryCommand() *cli.Command {
@@ -30,7 +30,7 @@
 				return err
 			}
 			defer flush()
-			e, err := entry.Start(cfg, entry.Options{Log: log, Store: platform.NewConsul(cfg.Platform)})
+			e, err := entry.Start(cfg, entry.Options{Log: log, Store: store.NewConsul(cfg.Platform)})
 			if err != nil {
 				return err
 			}
--- a/command/platform.go
+++ b/command/platform.go
@@ -10,8 +10,8 @@
 	"github.com/urfave/cli/v3"
 
 	"masticbay/clock"
-	"masticbay/platform"
 	"masticbay/setting"
+	"masticbay/store"
 	"masticbay/telemetry"
 )
 
@@ -32,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			srv := platform.NewServer(platform.NewMemory(clock.System{}))
+			srv := store.NewServer(store.NewMemory(clock.System{}))
 			h := &http.Server{Handler: srv.Handler(), ReadHeaderTimeout: headerTimeout}
 			go func() { _ = h.Serve(ln) }()
 			log.Info().Str("http", cfg.HTTP).Msg("key-value stand-in started")
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -14,8 +14,8 @@
 	"masticbay/agent"
 	"masticbay/clock"
 	"masticbay/entry"
-	"masticbay/platform"
 	"masticbay/setting"
+	"masticbay/store"
 	"masticbay/target"
 	"masticbay/wire"
 )
@@ -36,7 +36,7 @@
 // Fleet is an installation in this process.
 type Fleet struct {
 	cfg      FleetConfig
-	store    *platform.Server
+	store    *store.Server
 	storeURL string
 	http     *http.Server
 
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f = &Fleet{cfg: cfg, store: platform.NewServer(platform.NewMemory(clock.System{})), storeURL: "http://" + ln.Addr().String()}
+	f = &Fleet{cfg: cfg, store: store.NewServer(store.NewMemory(clock.System{})), storeURL: "http://" + ln.Addr().String()}
 	f.http = &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = f.http.Serve(ln) }()
 	f.entries = make([]*entry.Entry, cfg.Entries)
@@ -144,7 +144,7 @@
 // StartEntry starts entry i anew.
 func (f *Fleet) StartEntry(i int) error {
 	cfg := f.entryCfg[i]
-	e, err := entry.Start(cfg, entry.Options{Log: f.cfg.Log, Store: platform.NewConsul(cfg.Platform)})
+	e, err := entry.Start(cfg, entry.Options{Log: f.cfg.Log, Store: store.NewConsul(cfg.Platform)})
 	if err != nil {
 		return err
 	}
@@ -209,7 +209,7 @@
 }
 
 // Store returns the key-value stand-in.
-func (f *Fleet) Store() *platform.Server { return f.store }
+func (f *Fleet) Store() *store.Server { return f.store }
 
 // Target returns target i.
 func (f *Fleet) Target(i int) *target.Server { return f.targets[i] }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,8 +32,8 @@
 	"masticbay/identity"
 	"masticbay/job"
 	"masticbay/member"
-	"masticbay/platform"
 	"masticbay/setting"
+	"masticbay/store"
 	"masticbay/table"
 	"masticbay/telemetry"
 	"masticbay/web"
@@ -44,7 +44,7 @@
 type Options struct {
 	Log     zerolog.Logger
 	Clock   clock.Clock // clock.System if nil
-	Store   platform.Store
+	Store   store.Store
 	Network wire.Network // TCP if nil
 }
 
@@ -54,7 +54,7 @@
 	log      zerolog.Logger
 	clock    clock.Clock
 	network  wire.Network
-	store    platform.Store
+	store    store.Store
 	id       string
 	born     time.Time
 	address  string
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -9,7 +9,7 @@
 
 	"masticbay/dispatch"
 	"masticbay/member"
-	"masticbay/platform"
+	"masticbay/store"
 )
 
 // pendingState holds the changes of the registry that are not written yet.
@@ -95,7 +95,7 @@
 func (e *Entry) writeRegistry(ctx context.Context, changes []member.Change) (reg member.Registry, err error) {
 	defer func() { err = errors.Annotate(err, "writing the registry") }()
 	it, err := e.store.Get(ctx, member.RegistryKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return reg, err
 	}
 	stored, err := member.Decode(it.Value)
--- a/entry/table.go
+++ b/entry/table.go
@@ -6,7 +6,7 @@
 
 	"masticbay/dispatch"
 	"masticbay/member"
-	"masticbay/platform"
+	"masticbay/store"
 	"masticbay/table"
 )
 
@@ -97,8 +97,8 @@
 
 const watchesInRetention = 8
 
-func decodeState(items []platform.Item) (reg *member.Registry, rows []table.Row, err error) {
-	var tableItems []platform.Item
+func decodeState(items []store.Item) (reg *member.Registry, rows []table.Row, err error) {
+	var tableItems []store.Item
 	for _, it := range items {
 		if it.Key != member.RegistryKey {
 			tableItems = append(tableItems, it)
--- a/entry/web_table.go
+++ b/entry/web_table.go
@@ -8,7 +8,7 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"masticbay/job"
-	"masticbay/platform"
+	"masticbay/store"
 	"masticbay/table"
 	"masticbay/web"
 )
@@ -29,7 +29,7 @@
 func (e *Entry) handleTableGet(w http.ResponseWriter, r *http.Request) {
 	kind, name := pathRow(r)
 	row, err := e.editor.Get(r.Context(), kind, name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		row, _ = e.rows.Current().Row(kind, name)
 	}
 	if row.Revision == 0 {
--- a/failure/outside_test.go
+++ b/failure/outside_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/juju/errors"
 
-	"masticbay/platform"
+	"masticbay/store"
 	"masticbay/target"
 )
 
@@ -53,7 +53,7 @@
 
 // hostStore is the key-value service as one host sees it.
 type hostStore struct {
-	platform.Store
+	store.Store
 	host   host
 	faults *storeFaults
 }
@@ -62,29 +62,29 @@
 	s.host.n.awaken(s.host.name)
 	time.Sleep(2 * latency)
 	if outage, _ := s.faults.get(); outage || s.host.n.isCut(link{s.host.name, storeName}) {
-		return errors.Trace(platform.ErrUnavailable)
+		return errors.Trace(store.ErrUnavailable)
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (s hostStore) Get(ctx context.Context, key string) (it platform.Item, err error) {
+// Get implements store.Store.
+func (s hostStore) Get(ctx context.Context, key string) (it store.Item, err error) {
 	if err := s.reach(); err != nil {
 		return it, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (s hostStore) List(ctx context.Context, prefix string) ([]platform.Item, uint64, error) {
+// List implements store.Store.
+func (s hostStore) List(ctx context.Context, prefix string) ([]store.Item, uint64, error) {
 	if err := s.reach(); err != nil {
 		return nil, 0, err
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-// Watch implements platform.Store.
-func (s hostStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
+// Watch implements store.Store.
+func (s hostStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Item, uint64, error) {
 	if err := s.reach(); err != nil {
 		return nil, 0, err
 	}
@@ -95,7 +95,7 @@
 	return items, rev, err
 }
 
-// CompareAndSwap implements platform.Store. The answer may be lost after the
+// CompareAndSwap implements store.Store. The answer may be lost after the
 // write took effect.
 func (s hostStore) CompareAndSwap(ctx context.Context, key string, value []byte, rev uint64) (uint64, bool, error) {
 	if err := s.reach(); err != nil {
@@ -103,7 +103,7 @@
 	}
 	next, ok, err := s.Store.CompareAndSwap(ctx, key, value, rev)
 	if _, lost := s.faults.get(); lost {
-		return 0, false, errors.Trace(platform.ErrUnavailable)
+		return 0, false, errors.Trace(store.ErrUnavailable)
 	}
 	return next, ok, err
 }
--- a/failure/site_test.go
+++ b/failure/site_test.go
@@ -17,8 +17,8 @@
 	"masticbay/entry"
 	"masticbay/job"
 	"masticbay/member"
-	"masticbay/platform"
 	"masticbay/setting"
+	"masticbay/store"
 	"masticbay/target"
 )
 
@@ -35,7 +35,7 @@
 type site struct {
 	t      *testing.T
 	n      *network
-	store  *platform.Memory
+	store  *store.Memory
 	faults storeFaults
 	gauge  gauge
 	policy setting.Policy
@@ -74,7 +74,7 @@
 	for _, change := range changes {
 		change(&policy)
 	}
-	s := &site{t: t, n: newNetwork(), store: platform.NewMemory(clock.System{}), policy: policy, stop: make(chan struct{}), entries: make([]*entry.Entry, entries)}
+	s := &site{t: t, n: newNetwork(), store: store.NewMemory(clock.System{}), policy: policy, stop: make(chan struct{}), entries: make([]*entry.Entry, entries)}
 	for i := range s.entries {
 		s.startEntry(i)
 	}
--- a/platform/memory.go
+++ b/store/memory.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/platform/store.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-// Package platform talks to the platform's key-value service.
+// Package store talks to the platform's key-value service.
 //
 // # Model
 //
@@ -15,10 +15,10 @@
 //
 // # Usage
 //
-//	store := platform.NewConsul("http://127.0.0.1:8500")
+//	store := store.NewConsul("http://127.0.0.1:8500")
 //	it, err := store.Get(ctx, "masticbay/registry")
 //	rev, ok, err := store.CompareAndSwap(ctx, it.Key, value, it.Revision)
-package platform
+package store
 
 import (
 	"context"
--- a/table/store.go
+++ b/table/store.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"masticbay/clock"
-	"masticbay/platform"
+	"masticbay/store"
 )
 
 // Prefix is where the rows live in the key-value service.
@@ -28,7 +28,7 @@
 
 // Editor reads and edits rows in the key-value service.
 type Editor struct {
-	Store platform.Store
+	Store store.Store
 	Clock clock.Clock
 	NewID func() string // returns a unique edit identifier
 }
@@ -50,7 +50,7 @@
 }
 
 // Decode turns items of the key-value service into rows.
-func Decode(items []platform.Item) (rows []Row, err error) {
+func Decode(items []store.Item) (rows []Row, err error) {
 	for _, it := range items {
 		r, err := decodeRow(it)
 		if err != nil {
@@ -61,7 +61,7 @@
 	return rows, nil
 }
 
-func decodeRow(it platform.Item) (r Row, err error) {
+func decodeRow(it store.Item) (r Row, err error) {
 	if err := json.Unmarshal(it.Value, &r); err != nil {
 		return Row{}, err
 	}
@@ -70,7 +70,7 @@
 }
 
 // Get returns one row; removed rows are returned with Removed set. The error
-// is platform.ErrNotFound if there never was such a row.
+// is store.ErrNotFound if there never was such a row.
 func (e *Editor) Get(ctx context.Context, kind Kind, name string) (r Row, err error) {
 	r = Row{Kind: kind, Name: name}
 	defer func() { err = errors.Annotatef(err, "reading row %s", r.ID()) }()
@@ -117,7 +117,7 @@
 // current returns a row, or a row of revision 0 if there is none.
 func (e *Editor) current(ctx context.Context, kind Kind, name string) (Row, error) {
 	cur, err := e.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return cur, nil
 	}
 	return cur, err
@@ -173,7 +173,7 @@
 	r := Row{Kind: kind, Name: name}
 	defer func() { err = errors.Annotatef(err, "reading the history of %s", r.ID()) }()
 	it, err := e.Store.Get(ctx, historyPrefix+r.ID())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -192,7 +192,7 @@
 		if err == nil {
 			err = json.Unmarshal(it.Value, &rows)
 		}
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return
 		}
 		rows = insertRow(rows, r)
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -13,23 +13,23 @@
 	"github.com/juju/errors"
 
 	"masticbay/clock"
-	"masticbay/platform"
+	"masticbay/store"
 	"masticbay/table"
 )
 
 // faultyStore loses answers to writes, before or after they took effect.
 type faultyStore struct {
-	platform.Store
+	store.Store
 	r *rand.Rand
 }
 
 func (s *faultyStore) CompareAndSwap(ctx context.Context, key string, value []byte, rev uint64) (uint64, bool, error) {
 	if s.r.IntN(4) == 0 {
-		return 0, false, errors.Trace(platform.ErrUnavailable)
+		return 0, false, errors.Trace(store.ErrUnavailable)
 	}
 	rev, ok, err := s.Store.CompareAndSwap(ctx, key, value, rev)
 	if s.r.IntN(4) == 0 {
-		return 0, false, errors.Trace(platform.ErrUnavailable)
+		return 0, false, errors.Trace(store.ErrUnavailable)
 	}
 	return rev, ok, err
 }
@@ -62,7 +62,7 @@
 func operators(seed uint64, set func(*table.Editor, table.Edit) (table.Row, error)) []porcupine.Operation {
 	r := rand.New(rand.NewPCG(seed, 5))
 	clk := &clock.Manual{}
-	mem := platform.NewMemory(clk)
+	mem := store.NewMemory(clk)
 	n := 0
 	ed := &table.Editor{Store: &faultyStore{mem, r}, Clock: clk, NewID: func() string { n++; return fmt.Sprint("edit", n) }}
 	var history []porcupine.Operation
@@ -168,10 +168,10 @@
 }
 
 func TestWatchReturnsOnChange(t *testing.T) {
-	mem := platform.NewMemory(clock.System{})
+	mem := store.NewMemory(clock.System{})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	got := make(chan []platform.Item)
+	got := make(chan []store.Item)
 	go func() {
 		items, _, _ := mem.Watch(ctx, table.Prefix, 0, time.Minute)
 		got <- items
