--- a/command/run.go
+++ b/command/run.go
@@ -46,7 +46,7 @@
 		Name:  "masticbay",
 		Usage: "dispatches jobs of many sub-second tasks to targets, each task at most once",
 		Commands: []*cli.Command{
-			demoCommand(), entryCommand(), agentCommand(), platformCommand(), targetCommand(),
+			demoCommand(), siteCommand(), entryCommand(), agentCommand(), platformCommand(), targetCommand(),
 			jobCommand(), tableCommand(), statusCommand(), configCommand(), loadCommand(), fleetCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/command/site.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"masticbay/platform"
+	"masticbay/site"
+	"masticbay/telemetry"
+	"masticbay/web"
+)
+
+// stopReserve is what a stop leaves of the time before the process is killed.
+const stopReserve = 400 * time.Millisecond
+
+func siteCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "site",
+		Usage: "runs a process of masticbay on the users' platform",
+		Commands: []*cli.Command{
+			{Name: "entry", Usage: "serves callers", Action: func(context.Context, *cli.Command) error { return runSiteEntry() }},
+			{Name: "agent", Usage: "runs tasks on the worker of this VM", Action: func(context.Context, *cli.Command) error { return runSiteAgent() }},
+		},
+	}
+}
+
+func runSiteEntry() error {
+	node, err := platform.ReadNode()
+	if err != nil {
+		return err
+	}
+	web.AllowSlowStop(node.Grace)
+	log := telemetry.NewLog(os.Stdout, "info", "entry")
+	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log})
+	if err != nil {
+		return err
+	}
+	return serve(e, node.Grace-stopReserve)
+}
+
+func runSiteAgent() error {
+	node, err := platform.ReadNode()
+	if err != nil {
+		return err
+	}
+	web.AllowSlowStop(node.Grace)
+	log := telemetry.NewLog(os.Stdout, "info", "agent")
+	a, err := site.StartAgent(site.AgentOptions{Node: node, Log: log})
+	if err != nil {
+		return err
+	}
+	return serve(a, node.Grace-stopReserve)
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,161 @@
+// Package roster tells which entries serve a site, and which of them is home:
+// the one at which all jobs meet.
+//
+// # Model
+//
+// Entries greet one another. Each tells whether it acts as home, under which
+// term, and how many agents it hears of. An entry follows the home of the
+// highest term that is in contact and hears of enough agents. If there is none,
+// the strongest entry in contact takes the next term. Two entries may act as
+// home for a while, for example on both sides of a cut: agents decide on the
+// room of their workers themselves and so serve both.
+//
+// # Usage
+//
+//	r := roster.New(self, cfg)
+//	r.Hear(now, member)
+//	home, ok := r.Home(now)
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Config holds the times of a Roster.
+type Config struct {
+	Silence time.Duration // after which an entry counts as out of contact
+	Listen  time.Duration // from the start, before an entry makes itself home
+	Forget  time.Duration // after which nothing is kept about a silent entry
+}
+
+// Member is what an entry tells about itself.
+type Member struct {
+	Name    string // of the VM
+	Address string // for the system's own processes
+	Life    string // incarnation of the process
+	Cores   float64
+	Leaving bool
+	Term    uint64 // under which it acts as home; 0 if it does not
+	Agents  int    // agents that it hears of
+}
+
+// Roster is the view of one entry. New makes one.
+type Roster struct {
+	cfg   Config
+	self  Member
+	since time.Time
+	peers map[string]*peer // by address
+	top   uint64           // highest term that was heard of
+}
+
+type peer struct {
+	Member
+	heard time.Time
+}
+
+// New returns the view of the entry self, which has just started.
+func New(now time.Time, self Member, cfg Config) *Roster {
+	return &Roster{cfg: cfg, self: self, since: now, peers: make(map[string]*peer)}
+}
+
+// Self returns what this entry tells about itself.
+func (r *Roster) Self() Member { return r.self }
+
+// Leave marks this entry as leaving.
+func (r *Roster) Leave() { r.self.Leaving, r.self.Term = true, 0 }
+
+// SetAgents notes how many agents this entry hears of.
+func (r *Roster) SetAgents(n int) { r.self.Agents = n }
+
+// Hear takes what an entry told about itself.
+func (r *Roster) Hear(now time.Time, m Member) {
+	if m.Address == "" || m.Address == r.self.Address {
+		return
+	}
+	r.top = max(r.top, m.Term)
+	r.peers[m.Address] = &peer{Member: m, heard: now}
+}
+
+// Lose notes that a peer's process is gone or unreachable.
+func (r *Roster) Lose(address string) {
+	if p, ok := r.peers[address]; ok {
+		p.heard = time.Time{}
+		p.Term = 0
+	}
+}
+
+// InContact returns the entries that are in contact, sorted by address.
+func (r *Roster) InContact(now time.Time) []Member {
+	var ms []Member
+	for _, p := range r.peers {
+		if now.Sub(p.heard) <= r.cfg.Silence {
+			ms = append(ms, p.Member)
+		}
+	}
+	slices.SortFunc(ms, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	return ms
+}
+
+// Home returns the entry that acts as home, which may be this one. It makes
+// this entry home if there is none and it is the strongest, and stops it from
+// being home if there is a better one.
+func (r *Roster) Home(now time.Time) (m Member, ok bool) {
+	members := append(r.InContact(now), r.self)
+	most := 0
+	for i := range members {
+		most = max(most, members[i].Agents)
+	}
+	var home, strongest *Member
+	for i := range members {
+		m := &members[i]
+		if m.Leaving || 2*m.Agents < most {
+			continue
+		}
+		if m.Term > 0 && (home == nil || outranks(m, home)) {
+			home = m
+		}
+		if strongest == nil || stronger(m, strongest) {
+			strongest = m
+		}
+	}
+	if home == nil && strongest != nil && strongest.Address == r.self.Address && now.Sub(r.since) >= r.cfg.Listen {
+		r.top++
+		r.self.Term = r.top
+		return r.self, true
+	}
+	if home == nil {
+		return Member{}, false
+	}
+	if home.Address != r.self.Address {
+		r.self.Term = 0
+	}
+	return *home, true
+}
+
+func outranks(a, b *Member) bool {
+	if a.Term != b.Term {
+		return a.Term > b.Term
+	}
+	return a.Name < b.Name
+}
+
+func stronger(a, b *Member) bool {
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
+	return a.Name < b.Name
+}
+
+// Addresses returns all entries that are known, in contact or not.
+func (r *Roster) Addresses(now time.Time) []string {
+	addresses := []string{r.self.Address}
+	for a, p := range r.peers {
+		if !p.heard.IsZero() && now.Sub(p.heard) <= r.cfg.Forget {
+			addresses = append(addresses, a)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,221 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// enqueue puts a job with tasks to place among those that wait.
+func (c *Core) enqueue(j *job) {
+	if j.waits || j.over || j.pending == 0 {
+		return
+	}
+	j.waits = true
+	i, _ := slices.BinarySearchFunc(c.waiting, j, before)
+	c.waiting = slices.Insert(c.waiting, i, j)
+}
+
+// before orders jobs: by priority, then by the objective, then by name.
+func before(a, b *job) int {
+	switch {
+	case a.Queue.Priority != b.Queue.Priority:
+		return a.Queue.Priority - b.Queue.Priority
+	case !a.objective.Equal(b.objective):
+		return a.objective.Compare(b.objective)
+	case a.ID < b.ID:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (c *Core) dequeue(j *job) {
+	if !j.waits {
+		return
+	}
+	j.waits = false
+	c.waiting = slices.DeleteFunc(c.waiting, func(o *job) bool { return o == j })
+}
+
+// place gives waiting tasks to workers with room.
+func (c *Core) place(now time.Time) {
+	open := c.open(now)
+	if len(open) == 0 {
+		return
+	}
+	for i := 0; i < len(c.waiting); i++ {
+		j := c.waiting[i]
+		c.placeJob(now, j, open)
+		if j.pending == 0 {
+			j.waits = false
+			c.waiting = slices.Delete(c.waiting, i, i+1)
+			i--
+		}
+	}
+}
+
+// open returns the workers that take starts.
+func (c *Core) open(now time.Time) []*target {
+	var open []*target
+	for _, name := range c.names {
+		t := c.targets[name]
+		if c.usable(now, t) && now.After(t.resume) {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+// usable reports whether a worker is in contact and serves.
+func (c *Core) usable(now time.Time, t *target) bool {
+	return t.ready && !t.Draining && now.Sub(t.heard) <= c.cfg.Suspect
+}
+
+func (c *Core) placeJob(now time.Time, j *job, open []*target) {
+	for i := range j.tasks {
+		if j.Steps[i].Gang {
+			c.placeGang(now, j, i, open)
+			continue
+		}
+		for k := range j.tasks[i] {
+			if j.tasks[i][k].state != pending {
+				continue
+			}
+			t := c.choose(now, j, i, open)
+			if t == nil {
+				break
+			}
+			c.assign(now, t, j, i, k, j.tasks[i][k].run+1)
+		}
+	}
+}
+
+// placeGang places all tasks of a step under one run number, or none.
+func (c *Core) placeGang(now time.Time, j *job, step int, open []*target) {
+	number := 0
+	for k := range j.tasks[step] {
+		if j.tasks[step][k].state != pending {
+			return
+		}
+		number = max(number, j.tasks[step][k].run+1)
+	}
+	chosen := make([]*target, 0, len(j.tasks[step]))
+	for range j.tasks[step] {
+		t := c.choose(now, j, step, open)
+		if t == nil {
+			break
+		}
+		t.used = t.used.Add(j.Steps[step].Room)
+		chosen = append(chosen, t)
+	}
+	for _, t := range chosen {
+		t.used = t.used.Sub(j.Steps[step].Room)
+	}
+	if len(chosen) < len(j.tasks[step]) {
+		return
+	}
+	for k, t := range chosen {
+		c.assign(now, t, j, step, k, number)
+	}
+}
+
+// choose returns the slowest worker with room that still meets the objective,
+// or the fastest one with room if none does, or nil.
+func (c *Core) choose(now time.Time, j *job, step int, open []*target) *target {
+	st := &j.Steps[step]
+	nominal := c.expect(j, step)
+	left := j.objective.Sub(now) - c.cfg.Margin
+	var meets, fastest *target
+	var meetsTime, fastestTime time.Duration
+	for _, t := range open {
+		if !t.free().Holds(st.Room) || !c.suits(j, step, t) {
+			continue
+		}
+		took := time.Duration(float64(nominal) * t.slowness() * distance(st, t))
+		if took <= left && (meets == nil || better(took, t, meetsTime, meets)) {
+			meets, meetsTime = t, took
+		}
+		if fastest == nil || took < fastestTime {
+			fastest, fastestTime = t, took
+		}
+	}
+	if meets != nil {
+		return meets
+	}
+	return fastest
+}
+
+// better prefers the clearly slower worker, then the one with more room.
+func better(took time.Duration, t *target, bestTook time.Duration, best *target) bool {
+	if diff := took - bestTook; diff > bestTook/similarSpeed || -diff > bestTook/similarSpeed {
+		return took > bestTook
+	}
+	return t.free().CPU > best.free().CPU
+}
+
+// similarSpeed is the part of a run time below which two workers count as
+// equally fast: a fifth, since estimates are far less exact.
+const similarSpeed = 5
+
+// farFactor is how many times as long a task takes away from its data.
+const farFactor = 1.5
+
+func distance(st *work.Step, t *target) float64 {
+	if st.Affinity != "" && !slices.Contains(t.Labels, st.Affinity) {
+		return farFactor
+	}
+	return 1
+}
+
+// suits reports whether a worker may run tasks of a step.
+func (c *Core) suits(j *job, step int, t *target) bool {
+	st := &j.Steps[step]
+	if t.Service != j.Queue.Service || j.avoid[t.agent] && c.alternative(j, t) {
+		return false
+	}
+	if st.Label != "" && !slices.Contains(t.Labels, st.Label) {
+		return false
+	}
+	if st.MaxPerOne == 0 {
+		return true
+	}
+	n := 0
+	for ref := range t.runs {
+		if ref.Job == j.ID && ref.Step == step {
+			n++
+		}
+	}
+	return n < st.MaxPerOne
+}
+
+// alternative reports whether some worker of the service is not avoided.
+func (c *Core) alternative(j *job, not *target) bool {
+	for _, name := range c.names {
+		t := c.targets[name]
+		if t != not && t.ready && !t.Draining && t.Service == j.Queue.Service && !j.avoid[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// assign starts a run of a task.
+func (c *Core) assign(now time.Time, t *target, j *job, step, index, number int) {
+	st := &j.Steps[step]
+	tk := &j.tasks[step][index]
+	tk.state, tk.run, tk.agent, tk.began = placed, number, t.agent, now
+	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * distance(st, t))
+	j.pending--
+	c.queued--
+	j.running++
+	j.sent = true
+	run := j.ref(step, index)
+	t.runs[run.Task] = run
+	t.used = t.used.Add(st.Room)
+	if c.out.Starts == nil {
+		c.out.Starts = make(map[string][]work.Start)
+	}
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: st.Estimate})
+}
--- /dev/null
+++ b/site/agent_methods.go
@@ -0,0 +1,81 @@
+package site
+
+import (
+	"time"
+
+	"masticbay/schedule"
+	"masticbay/work"
+	"masticbay/worker"
+)
+
+// agentMethods are what homes call.
+type agentMethods struct {
+	a *Agent
+}
+
+// Sync takes orders from a home and returns news once there is any.
+func (m *agentMethods) Sync(args *SyncArgs, reply *SyncReply) error {
+	a := m.a
+	a.mu.Lock()
+	a.guard.Hear(args.Home, unstamp(args.Echo))
+	if args.Life == a.life {
+		a.takeOrders(args)
+	}
+	news := a.news
+	fresh := len(a.guard.Events(args.Home, args.Acked)) > 0
+	a.mu.Unlock()
+	if args.Wait > 0 && !fresh {
+		t := time.NewTimer(args.Wait)
+		select {
+		case <-news:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Stamp = stamp(a.now())
+	reply.Taken = a.taken[args.Home]
+	reply.Report = a.reportFor(args.Home, args.Acked)
+	if reply.Target = a.version; args.Target == a.version && args.Life == a.life {
+		reply.Report.Target = work.Target{}
+	}
+	return nil
+}
+
+// takeOrders takes the orders that are new. The caller holds mu.
+func (a *Agent) takeOrders(args *SyncArgs) {
+	now := a.now()
+	for _, o := range args.Orders {
+		if o.Seq <= a.taken[args.Home] {
+			continue
+		}
+		a.taken[args.Home] = o.Seq
+		for i := range o.Starts {
+			o.Starts[i].Spec = o.Specs[o.Starts[i].Run.Task.Job]
+		}
+		a.guard.Order(now, args.Home, unstamp(o.Echo), o.Starts, o.Stops)
+	}
+	a.perform()
+}
+
+// idleAge is the age from which a run without any progress is told to its home.
+const idleAge = 150 * time.Millisecond
+
+// reportFor returns what a home is told. The caller holds mu.
+func (a *Agent) reportFor(home string, acked uint64) schedule.Report {
+	t, serves := a.guard.Target()
+	_, others := a.guard.Used(home)
+	r := schedule.Report{
+		Life: a.life, Target: t, Ready: serves && !a.leaving && !a.guard.Silent(),
+		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home, a.now(), idleAge),
+	}
+	for _, e := range a.guard.Events(home, acked) {
+		r.Events = append(r.Events, event(e))
+	}
+	return r
+}
+
+func event(e worker.Event) schedule.Event {
+	return schedule.Event{Seq: e.Seq, Run: e.Run, End: e.End, Reason: e.Reason, Took: e.Took}
+}
--- /dev/null
+++ b/site/entry_peers.go
@@ -0,0 +1,245 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"masticbay/platform"
+	"masticbay/roster"
+	"masticbay/wire"
+)
+
+// entryMethods are what agents and other entries call.
+type entryMethods struct {
+	e *Entry
+}
+
+// Announce takes news of an agent.
+func (m *entryMethods) Announce(args *AnnounceArgs, reply *AnnounceReply) error {
+	e := m.e
+	e.mu.Lock()
+	_, known := e.agents[args.Address]
+	e.agents[args.Address] = e.now()
+	reply.Entries = e.roster.Addresses(e.now())
+	e.mu.Unlock()
+	if !known {
+		e.log.Info().Str("agent", args.Address).Str("service", args.Service).Msg("agent found")
+		e.home.wake()
+	}
+	return nil
+}
+
+// Greet exchanges what two entries tell about themselves.
+func (m *entryMethods) Greet(args *GreetArgs, reply *GreetReply) error {
+	m.e.hear((*GreetReply)(args))
+	*reply = GreetReply(m.e.greeting())
+	return nil
+}
+
+// Config returns the configuration in force; nothing if there is none yet.
+func (m *entryMethods) Config(_ *ConfigArgs, reply *ConfigReply) error {
+	if c := m.e.config.Load(); c != nil {
+		reply.Raw = c.Raw()
+	}
+	return nil
+}
+
+func (e *Entry) greeting() GreetArgs {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	args := GreetArgs{Member: e.roster.Self(), Entries: e.roster.Addresses(now)}
+	if c := e.config.Load(); c != nil {
+		args.Config = c.Version()
+	}
+	return args
+}
+
+// hear takes what another entry told.
+func (e *Entry) hear(g *GreetReply) {
+	e.mu.Lock()
+	e.roster.Hear(e.now(), g.Member)
+	e.mu.Unlock()
+	e.known.add(g.Member.Address)
+	e.known.add(g.Entries...)
+	e.home.heard(g.Member.Life)
+	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
+		go e.fetchConfig(g.Member.Address)
+	}
+}
+
+// greetDuty greets the home often and other entries now and then.
+func (e *Entry) greetDuty() {
+	tick := time.NewTicker(greetHome)
+	defer tick.Stop()
+	last := make(map[string]time.Time)
+	for {
+		e.follow()
+		home, _ := e.currentHome()
+		now := e.now()
+		for _, address := range e.known.all() {
+			if address == e.node.Internal || address != home.Address && now.Sub(last[address]) < greetOthers {
+				continue
+			}
+			last[address] = now
+			go e.greet(address)
+		}
+		select {
+		case <-e.stop:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// greetAll greets all entries at once.
+func (e *Entry) greetAll() {
+	for _, address := range e.known.all() {
+		if address != e.node.Internal {
+			go e.greet(address)
+		}
+	}
+}
+
+func (e *Entry) greet(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
+	defer cancel()
+	args := e.greeting()
+	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
+	if err != nil {
+		return // silence is judged by the roster
+	}
+	e.hear(rep)
+}
+
+// peer returns the client of another entry.
+func (e *Entry) peer(address string) *wire.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.peers[address]
+	if !ok {
+		c = wire.NewClient(address, rpcOptions)
+		e.peers[address] = c
+	}
+	return c
+}
+
+// currentHome returns the home and whether there is one.
+func (e *Entry) currentHome() (m roster.Member, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.roster.Home(e.now())
+}
+
+// follow notes changes of the home, and forgets agents that are silent.
+func (e *Entry) follow() {
+	e.mu.Lock()
+	now := e.now()
+	for a, heard := range e.agents {
+		if now.Sub(heard) > agentKnown {
+			delete(e.agents, a)
+			e.log.Info().Str("agent", a).Msg("agent silent")
+		}
+	}
+	e.roster.SetAgents(len(e.agents))
+	home, ok := e.roster.Home(now)
+	changed := home.Life != e.lastHome
+	before := e.lastHome
+	e.lastHome = home.Life
+	e.mu.Unlock()
+	if changed {
+		e.log.Info().Str("home", home.Name).Str("life", home.Life).Str("before", before).Uint64("term", home.Term).Bool("any", ok).Msg("home changed")
+		e.home.wake()
+		if home.Life == e.life {
+			e.greetAll()
+		}
+	}
+}
+
+// knownAgents returns the agents that announced themselves.
+func (e *Entry) knownAgents() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	agents := make([]string, 0, len(e.agents))
+	for a := range e.agents {
+		agents = append(agents, a)
+	}
+	return agents
+}
+
+// registerDuty writes this entry's address to the store once, so that
+// processes find it that know no entry in contact.
+func (e *Entry) registerDuty() {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+		items, err := e.store.List(ctx, entriesPrefix)
+		if err == nil {
+			for _, it := range items {
+				e.known.add(string(it.Value))
+			}
+			err = e.store.Put(ctx, entriesPrefix+e.node.Name, []byte(e.node.Internal))
+		}
+		cancel()
+		if err == nil {
+			return
+		}
+		e.log.Warn().Err(err).Msg("entry not registered in the store; tries again")
+		select {
+		case <-e.stop:
+			return
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+const (
+	registerTimeout = 3 * time.Second
+	registerPause   = 1500 * time.Millisecond
+)
+
+// fetchConfig takes the configuration of another entry.
+func (e *Entry) fetchConfig(address string) {
+	e.mu.Lock()
+	busy := e.pull[address]
+	e.pull[address] = true
+	e.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		e.mu.Lock()
+		delete(e.pull, address)
+		e.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	rep, err := wire.Call[ConfigArgs, ConfigReply](ctx, e.peer(address), entryConfig, &ConfigArgs{})
+	if err != nil {
+		e.log.Warn().Err(err).Str("entry", address).Msg("configuration not fetched")
+		return
+	}
+	if len(rep.Raw) > 0 {
+		e.applyConfig(rep.Raw, "entry "+address)
+	}
+}
+
+const fetchTimeout = time.Second
+
+// applyConfig puts a configuration in force unless a newer one is.
+func (e *Entry) applyConfig(raw []byte, from string) {
+	c, err := platform.DecodeConfig(raw)
+	if err != nil {
+		e.log.Error().Err(err).Str("from", from).Msg("configuration not understood")
+		return
+	}
+	for {
+		old := e.config.Load()
+		if old != nil && old.Version() >= c.Version() {
+			return
+		}
+		if e.config.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	e.log.Info().Uint64("version", c.Version()).Str("from", from).Msg("configuration in force")
+}
--- /dev/null
+++ b/site/entry_run.go
@@ -0,0 +1,154 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticbay/roster"
+	"masticbay/wire"
+	"masticbay/work"
+)
+
+// run has a job run at the home and returns its outcome. When a home is lost it
+// hands the job to the next one, once no run of the lost one can be left.
+func (e *Entry) run(ctx context.Context, j work.Job, begun time.Time) work.Outcome {
+	firstRun := 0
+	sent := false
+	for {
+		home, ok := e.awaitHome(ctx)
+		if !ok {
+			return e.noHome(ctx, sent)
+		}
+		now := e.now()
+		j.Age = now.Sub(begun)
+		args := RunArgs{Entry: e.life, Job: j, FirstRun: firstRun}
+		args.Job.Left = j.Left - j.Age
+		out, moved, err := e.runAt(ctx, home, &args)
+		switch {
+		case err == nil && !moved:
+			return out
+		case moved:
+			sleep(ctx, homePoll)
+			continue
+		case ctx.Err() != nil:
+			return work.Outcome{State: work.Unknown, Reason: "the caller's time is over"}
+		case errors.Is(err, wire.ErrNotSent):
+			e.log.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
+			e.loseHome(home)
+			sleep(ctx, homePoll)
+			continue
+		}
+		sent = true
+		e.log.Warn().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
+		e.loseHome(home)
+		firstRun += runStride
+		sleep(ctx, failover)
+	}
+}
+
+// homePoll is how often an entry looks for a home when there is none.
+const homePoll = 20 * time.Millisecond
+
+// homeWait is how long a new job waits for a home before it is rejected.
+const homeWait = 400 * time.Millisecond
+
+// awaitHome waits for a home for a while.
+func (e *Entry) awaitHome(ctx context.Context) (m roster.Member, ok bool) {
+	until := e.now().Add(homeWait)
+	for {
+		if m, ok := e.currentHome(); ok {
+			return m, true
+		}
+		if ctx.Err() != nil || e.now().After(until) {
+			return m, false
+		}
+		sleep(ctx, homePoll)
+	}
+}
+
+// noHome is the outcome of a job when there is no home.
+func (e *Entry) noHome(ctx context.Context, sent bool) work.Outcome {
+	if sent || ctx.Err() != nil {
+		return work.Outcome{State: work.Unknown, Reason: "no entry acts as home"}
+	}
+	return work.Outcome{State: work.Rejected, Reason: "no entry acts as home", RetryAfter: time.Second}
+}
+
+// loseHome makes the roster look for another home at once.
+func (e *Entry) loseHome(m roster.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.roster.Lose(m.Address)
+}
+
+// runAt hands a job to a home and waits for the outcome.
+func (e *Entry) runAt(ctx context.Context, m roster.Member, args *RunArgs) (out work.Outcome, moved bool, err error) {
+	if m.Life == e.life {
+		out, moved = e.home.run(ctx, args)
+		return out, moved, nil
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.watchHome(watch, cancel, m)
+	c := e.peer(m.Address)
+	rep, err := wire.Call[RunArgs, RunReply](watch, c, entryRun, args)
+	if err == nil {
+		return rep.Outcome, rep.Moved, nil
+	}
+	if ctx.Err() != nil {
+		e.withdrawAt(c, args.Job.ID)
+	}
+	return out, false, err
+}
+
+// watchHome ends the wait for a home that is out of contact.
+func (e *Entry) watchHome(ctx context.Context, cancel context.CancelFunc, m roster.Member) {
+	tick := time.NewTicker(greetHome)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !e.inContact(m) {
+			cancel()
+			return
+		}
+	}
+}
+
+func (e *Entry) inContact(m roster.Member) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.roster.InContact(e.now()) {
+		if p.Life == m.Life {
+			return true
+		}
+	}
+	return false
+}
+
+// withdrawAt tells a home that nobody waits for a job any more.
+func (e *Entry) withdrawAt(c *wire.Client, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
+	defer cancel()
+	args := WithdrawArgs{Entry: e.life, Job: id}
+	if _, err := wire.Call[WithdrawArgs, WithdrawReply](ctx, c, entryWithdraw, &args); err != nil {
+		e.log.Info().Err(err).Str("job", id).Msg("job not withdrawn")
+	}
+}
+
+// Run runs a job for another entry.
+func (m *entryMethods) Run(args *RunArgs, reply *RunReply) error {
+	reply.Outcome, reply.Moved = m.e.home.run(context.Background(), args)
+	return nil
+}
+
+// Withdraw takes a job back.
+func (m *entryMethods) Withdraw(args *WithdrawArgs, _ *WithdrawReply) error {
+	m.e.home.withdraw(args.Entry, args.Job)
+	return nil
+}
--- /dev/null
+++ b/site/entry_web.go
@@ -0,0 +1,103 @@
+package site
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"masticbay/platform"
+	"masticbay/work"
+)
+
+// serveReady answers the balancer.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() || e.config.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveCaller answers callers.
+func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	cfg := e.config.Load()
+	if cfg == nil {
+		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
+		return
+	}
+	q, prefix, ok := cfg.Queue(r.Host, r.URL.Path)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if r.URL.Path == prefix && r.Method == http.MethodGet {
+		e.check(platform.WriteWaiting(w, e.home.waiting(q.Name)))
+		return
+	}
+	id, ok := platform.JobID(r.URL.Path, prefix)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	switch r.Method {
+	case http.MethodPost:
+		e.servePost(w, r, cfg, q, id)
+	case http.MethodGet, http.MethodDelete:
+		// Jobs that are not stored are not asked for.
+		w.WriteHeader(http.StatusGone)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+// check logs that a response could not be written.
+func (e *Entry) check(err error) {
+	if err != nil {
+		e.log.Debug().Err(err).Msg("response not written")
+	}
+}
+
+// callerWaits is how long a caller waits that does not say.
+const callerWaits = 10 * time.Second
+
+// bodyLimit bounds bodies when the configuration does not.
+const bodyLimit = 1 << 20 // bytes
+
+func (e *Entry) servePost(w http.ResponseWriter, r *http.Request, cfg *platform.Config, q work.Queue, id string) {
+	begun := e.now()
+	limit := cfg.Limits().BodyBytes
+	if limit <= 0 {
+		limit = bodyLimit
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		e.log.Info().Err(err).Str("job", id).Msg("request not read")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	s, err := platform.DecodeJob(id, q, raw)
+	if err != nil {
+		e.log.Info().Err(err).Str("job", id).Msg("request not understood")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if s.Stored || s.Lasting || s.Scheduled || s.Filling {
+		e.log.Warn().Str("job", id).Bool("stored", s.Stored).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
+		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Minute))
+		return
+	}
+	s.Job.Left = platform.CallerWaits(r, callerWaits)
+	ctx, cancel := context.WithTimeout(r.Context(), s.Job.Left)
+	defer cancel()
+	out := e.run(ctx, s.Job, begun)
+	took := e.now().Sub(begun)
+	e.log.Info().Str("job", id).Str("queue", q.Name).Uint64("config", cfg.Version()).Str("state", string(out.State)).
+		Str("why", out.Reason).Dur("tookMs", took).Int("tasks", s.Job.Tasks()).Dur("leftMs", s.Job.Left-took).Msg("answered")
+	if r.Context().Err() != nil {
+		return // the caller has gone
+	}
+	e.check(platform.WriteOutcome(w, out))
+}
--- /dev/null
+++ b/site/home.go
@@ -0,0 +1,236 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"masticbay/schedule"
+	"masticbay/work"
+)
+
+// home is the part of an entry that places tasks while the entry is home, and
+// afterwards until its last run has ended.
+type home struct {
+	e   *Entry
+	log zerolog.Logger
+	due chan struct{}
+
+	mu      sync.Mutex // guards what follows
+	core    *schedule.Core
+	waiters map[string][]*waiter // by job
+	links   map[string]*link     // by agent
+	entries map[string]time.Time // by incarnation: when it was heard
+}
+
+// waiter is an entry that waits for a job.
+type waiter struct {
+	entry string
+	done  chan work.Outcome // with room for one
+}
+
+func newHome(e *Entry) *home {
+	return &home{
+		e: e, log: e.log, due: make(chan struct{}, 1), core: schedule.NewCore(coreConfig()),
+		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]time.Time),
+	}
+}
+
+// wake lets the duty look at once.
+func (h *home) wake() {
+	select {
+	case h.due <- struct{}{}:
+	default:
+	}
+}
+
+// heard notes a sign of life of another entry.
+func (h *home) heard(life string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries[life] = h.e.now()
+}
+
+// busy reports whether jobs of callers are under way here.
+func (h *home) busy() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, running := h.core.Load()
+	return running > 0 || len(h.waiters) > 0
+}
+
+func (h *home) waiting(queue string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Waiting(queue)
+}
+
+// run runs a job and waits for its outcome. It returns moved and does nothing
+// if this entry is not home.
+func (h *home) run(ctx context.Context, args *RunArgs) (out work.Outcome, moved bool) {
+	if m, ok := h.e.currentHome(); !ok || m.Life != h.e.life {
+		return out, true
+	}
+	w := &waiter{entry: args.Entry, done: make(chan work.Outcome, 1)}
+	h.mu.Lock()
+	h.entries[args.Entry] = h.e.now()
+	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
+	h.core.Submit(h.e.now(), args.Job, args.FirstRun)
+	h.flush()
+	h.mu.Unlock()
+	select {
+	case out = <-w.done:
+		return out, false
+	case <-ctx.Done():
+		h.leave(args.Job.ID, func(o *waiter) bool { return o == w })
+		return work.Outcome{State: work.Unknown, Reason: "the caller's time is over"}, false
+	}
+}
+
+// withdraw takes a job back for an entry.
+func (h *home) withdraw(entry, id string) {
+	h.leave(id, func(o *waiter) bool { return o.entry == entry })
+}
+
+// leave drops waiters of a job, and withdraws the job after the last one.
+func (h *home) leave(id string, which func(*waiter) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drop(id, which)
+	h.flush()
+}
+
+// drop is leave with mu held and without flush.
+func (h *home) drop(id string, which func(*waiter) bool) {
+	rest := slices.DeleteFunc(h.waiters[id], which)
+	if len(rest) > 0 {
+		h.waiters[id] = rest
+		return
+	}
+	if _, ok := h.waiters[id]; ok {
+		delete(h.waiters, id)
+		h.core.Withdraw(h.e.now(), id)
+	}
+}
+
+// The pauses of the duty.
+const (
+	homeTick = 10 * time.Millisecond // while there is work
+	homeIdle = 200 * time.Millisecond
+)
+
+// duty drives the core by time and keeps a link to each agent.
+func (h *home) duty() {
+	for {
+		pause := homeIdle
+		if h.step() {
+			pause = homeTick
+		}
+		select {
+		case <-h.e.stop:
+			return
+		case <-h.due:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step does what is due and reports whether there is work.
+func (h *home) step() bool {
+	m, ok := h.e.currentHome()
+	acts := ok && m.Life == h.e.life
+	agents := h.e.knownAgents()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.e.now()
+	h.dropSilent(now)
+	h.core.Tick(now)
+	h.flush()
+	waiting, running := h.core.Load()
+	if acts || running > 0 {
+		for _, a := range agents {
+			if _, ok := h.links[a]; !ok {
+				h.links[a] = newLink(h, a)
+			}
+		}
+	}
+	for a, l := range h.links {
+		if !acts && running == 0 || !slices.Contains(agents, a) && !h.core.Uses(a) {
+			l.close()
+			delete(h.links, a)
+		}
+	}
+	return waiting > 0 || running > 0
+}
+
+// dropSilent withdraws the jobs of entries that are out of contact: their
+// callers may submit again elsewhere. The caller holds mu.
+func (h *home) dropSilent(now time.Time) {
+	for life, heard := range h.entries {
+		if now.Sub(heard) <= entryContact {
+			continue
+		}
+		delete(h.entries, life)
+		for id, ws := range h.waiters {
+			gone := func(o *waiter) bool { return o.entry == life && life != h.e.life }
+			if slices.ContainsFunc(ws, gone) {
+				h.log.Warn().Str("job", id).Str("entry", life).Dur("silentMs", now.Sub(heard)).Msg("job withdrawn: its entry is out of contact")
+				h.drop(id, gone)
+			}
+		}
+	}
+}
+
+// flush hands out what the core has decided. The caller holds mu.
+func (h *home) flush() {
+	d := h.core.Take()
+	for _, end := range d.Outcomes {
+		for _, w := range h.waiters[end.Job] {
+			w.done <- end.Outcome
+		}
+		delete(h.waiters, end.Job)
+	}
+	for agent, starts := range d.Starts {
+		h.order(agent, starts, d.Stops[agent])
+	}
+	for agent, stops := range d.Stops {
+		if _, done := d.Starts[agent]; !done {
+			h.order(agent, nil, stops)
+		}
+	}
+	for i := range d.Notes {
+		h.logNote(&d.Notes[i])
+	}
+}
+
+func (h *home) order(agent string, starts []work.Start, stops []work.Run) {
+	if l, ok := h.links[agent]; ok {
+		l.send(starts, stops)
+		return
+	}
+	// Without a link the agent is not heard either, so its runs will lapse.
+	h.log.Warn().Str("agent", agent).Int("starts", len(starts)).Msg("orders for an agent without a link")
+}
+
+func (h *home) logNote(n *schedule.Note) {
+	ev := h.log.Info()
+	if n.What == "runEnded" {
+		ev = h.log.Debug()
+	}
+	if n.Job != "" {
+		ev = ev.Str("job", n.Job)
+	}
+	if n.Agent != "" {
+		ev = ev.Str("agent", n.Agent)
+	}
+	if n.Run.Number > 0 {
+		ev = ev.Str("run", n.Run.String())
+	}
+	for k, v := range n.Values {
+		ev = ev.Float64(k, v)
+	}
+	ev.Str("why", n.Why).Msg(n.What)
+}
--- /dev/null
+++ b/site/link.go
@@ -0,0 +1,123 @@
+package site
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"masticbay/wire"
+	"masticbay/work"
+)
+
+// link is a home's connection to one agent. Its fields are guarded by home.mu.
+type link struct {
+	h       *home
+	agent   string
+	client  *wire.Client
+	stop    chan struct{}
+	life    string // incarnation of the agent; empty before it was heard
+	echo    time.Duration
+	seq     uint64
+	orders  []orderBatch // that the agent has not confirmed
+	target  work.Target
+	version uint64
+	silent  atomic.Bool
+}
+
+func newLink(h *home, agent string) *link {
+	l := &link{h: h, agent: agent, client: wire.NewClient(agent, rpcOptions), stop: make(chan struct{})}
+	go l.duty()
+	return l
+}
+
+func (l *link) close() {
+	close(l.stop)
+	l.client.Close()
+}
+
+// duty asks the agent for news again and again.
+func (l *link) duty() {
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		if l.sync(syncWait) {
+			continue
+		}
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(linkPause):
+		}
+	}
+}
+
+// linkPause is the pause after a sync that failed.
+const linkPause = 30 * time.Millisecond
+
+// send queues orders and sends them at once. The caller holds home.mu.
+func (l *link) send(starts []work.Start, stops []work.Run) {
+	l.seq++
+	b := orderBatch{Seq: l.seq, Echo: l.echo, Stops: stops, Starts: starts}
+	for i := range starts {
+		if b.Specs == nil {
+			b.Specs = make(map[string]string)
+		}
+		b.Specs[starts[i].Run.Task.Job] = starts[i].Spec
+		starts[i].Spec = ""
+	}
+	l.orders = append(l.orders, b)
+	go l.sync(0)
+}
+
+// sync makes one exchange and reports whether the agent answered.
+func (l *link) sync(wait time.Duration) bool {
+	l.h.mu.Lock()
+	args := SyncArgs{Home: l.h.e.life, Life: l.life, Echo: l.echo, Orders: l.orders, Target: l.version, Wait: wait}
+	if life, acked := l.h.core.Acked(l.agent); life == l.life {
+		args.Acked = acked
+	}
+	l.h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
+	defer cancel()
+	rep, err := wire.Call[SyncArgs, SyncReply](ctx, l.client, agentSync, &args)
+	if err != nil {
+		l.client.Reset()
+		if !l.silent.Swap(true) {
+			l.h.log.Warn().Err(err).Str("agent", l.agent).Msg("agent does not answer")
+		}
+		return false
+	}
+	if l.silent.Swap(false) {
+		l.h.log.Info().Str("agent", l.agent).Msg("agent answers")
+	}
+	l.h.mu.Lock()
+	defer l.h.mu.Unlock()
+	l.take(rep)
+	return true
+}
+
+// take takes a reply. The caller holds home.mu.
+func (l *link) take(rep *SyncReply) {
+	if rep.Report.Life != l.life {
+		l.life, l.orders, l.echo, l.version = rep.Report.Life, nil, 0, 0
+		l.seq = 0
+	}
+	if rep.Report.Target.ID != "" {
+		l.target = rep.Report.Target
+		l.version = rep.Target
+	}
+	stale := rep.Stamp < l.echo
+	l.echo = max(l.echo, rep.Stamp)
+	for len(l.orders) > 0 && l.orders[0].Seq <= rep.Taken {
+		l.orders = l.orders[1:]
+	}
+	if stale && len(rep.Report.Events) == 0 {
+		return
+	}
+	rep.Report.Target = l.target
+	l.h.core.Report(l.h.e.now(), l.agent, &rep.Report)
+	l.h.flush()
+}
--- /dev/null
+++ b/site/messages.go
@@ -0,0 +1,99 @@
+package site
+
+import (
+	"time"
+
+	"masticbay/roster"
+	"masticbay/schedule"
+	"masticbay/work"
+)
+
+// The methods of the processes of a site.
+const (
+	agentSync     = "Agent.Sync"
+	entryAnnounce = "Entry.Announce"
+	entryGreet    = "Entry.Greet"
+	entryRun      = "Entry.Run"
+	entryWithdraw = "Entry.Withdraw"
+	entryConfig   = "Entry.Config"
+)
+
+// orderBatch is what a home wants of an agent, under a number that rises.
+type orderBatch struct {
+	Seq    uint64
+	Echo   time.Duration     // the agent's time that the home knew when it decided
+	Specs  map[string]string // by job, so that its tasks share one copy
+	Starts []work.Start      // without Spec
+	Stops  []work.Run
+}
+
+// SyncArgs carries orders to an agent and asks for news. All orders that the
+// agent has not confirmed are sent again; it takes each once.
+type SyncArgs struct {
+	Home   string // incarnation of the home
+	Life   string // incarnation of the agent that the orders are for; empty if unknown
+	Echo   time.Duration
+	Orders []orderBatch
+	Acked  uint64        // events up to this number are forgotten
+	Target uint64        // version of the worker's description that the home has
+	Wait   time.Duration // for news
+}
+
+// SyncReply is what an agent tells a home.
+type SyncReply struct {
+	Stamp  time.Duration   // the agent's time
+	Taken  uint64          // orders up to this number were taken
+	Target uint64          // version of the worker's description
+	Report schedule.Report // with a Target only if the home has another version
+}
+
+// AnnounceArgs tells an entry of an agent.
+type AnnounceArgs struct {
+	Address string
+	Service string
+}
+
+// AnnounceReply tells an agent of all entries.
+type AnnounceReply struct {
+	Entries []string
+}
+
+// GreetArgs is exchanged between entries.
+type GreetArgs struct {
+	Member  roster.Member
+	Entries []string // that the sender knows
+	Config  uint64   // version of the configuration that it has in force
+}
+
+// GreetReply is the receiver's side.
+type GreetReply GreetArgs
+
+// RunArgs hands a job to the home.
+type RunArgs struct {
+	Entry    string // incarnation of the sender
+	Job      work.Job
+	FirstRun int // runs are numbered from the next one
+}
+
+// RunReply is sent when the job has ended.
+type RunReply struct {
+	Outcome work.Outcome
+	Moved   bool // the receiver is not home and did nothing
+}
+
+// WithdrawArgs takes a job back.
+type WithdrawArgs struct {
+	Entry string
+	Job   string
+}
+
+// WithdrawReply is empty.
+type WithdrawReply struct{}
+
+// ConfigArgs asks for a configuration.
+type ConfigArgs struct{}
+
+// ConfigReply carries the configuration as the operator wrote it.
+type ConfigReply struct {
+	Raw []byte
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,78 @@
+// Package site runs masticbay on the users' platform: entries, which take jobs
+// from callers, and agents, which run tasks on the worker beside them.
+//
+// # Model
+//
+//	caller ──► entry ──► home ──► agent ──► worker
+//
+// The entry that has a caller's connection answers for the job. It hands the
+// job whole to the home, the entry that places all tasks of the site (package
+// schedule), and waits for the outcome. Homes are agreed on by package roster.
+// An agent (package worker) takes orders from homes and is the only process
+// that calls its worker.
+//
+// Nothing is stored. If a home is lost, the entries hand their jobs to the next
+// one after the time in which every run of the lost home has certainly ended;
+// if an entry is lost, its caller submits again, and by then its runs have
+// ended too. The times in this file make that hold.
+//
+// Decisions are made by the packages schedule, worker and roster. This package
+// moves their inputs and outputs: HTTP through package platform, net/rpc
+// through package wire.
+//
+// # Usage
+//
+//	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log})
+//	defer e.Stop(ctx)
+package site
+
+import (
+	"time"
+
+	"masticbay/roster"
+	"masticbay/schedule"
+	"masticbay/worker"
+)
+
+// The chain of leases. A run ends at the latest
+//   - agentContact after its home was last heard by a working agent,
+//   - workerLease later if the agent stands still.
+const (
+	workerLease   = 800 * time.Millisecond // two lost looks are borne
+	lookWait      = 150 * time.Millisecond // a look returns at an end, or after this
+	lookSlack     = 150 * time.Millisecond // for the answer to a look that has waited
+	orderTimeout  = 200 * time.Millisecond // then a start counts as unanswered
+	agentContact  = 450 * time.Millisecond // silence of a home after which an agent stops its runs
+	orderLife     = 400 * time.Millisecond // oldest echo with which an agent takes an order
+	syncWait      = 100 * time.Millisecond // so an agent hears its home four times in agentContact
+	syncSlack     = 250 * time.Millisecond // for the answer to a sync that has waited
+	agentSuspect  = 300 * time.Millisecond // silence of an agent after which it gets no new task
+	agentLost     = agentContact + workerLease + 100*time.Millisecond
+	entryContact  = 450 * time.Millisecond // silence of an entry after which a home withdraws its jobs
+	homeSilence   = 350 * time.Millisecond // silence after which a home counts as lost
+	greetHome     = 100 * time.Millisecond // so a home hears an entry four times in entryContact
+	greetOthers   = 400 * time.Millisecond
+	greetTimeout  = 250 * time.Millisecond
+	peerSilence   = 1200 * time.Millisecond             // of entries that are not home
+	failover      = agentContact + 150*time.Millisecond // after the last message to a lost home
+	announceEvery = 700 * time.Millisecond
+	agentKnown    = 2500 * time.Millisecond // silence after which an entry forgets an agent
+	listenFirst   = 500 * time.Millisecond  // before an entry makes itself home
+	forgetPeer    = 30 * time.Second
+	runStride     = 1000 // between run numbers of a task under successive homes
+)
+
+func guardConfig() worker.Config {
+	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer}
+}
+
+func coreConfig() schedule.Config {
+	return schedule.Config{
+		Suspect: agentSuspect, Lost: agentLost, Late: 3, Margin: 5 * time.Millisecond,
+		Remember: 4096, MaxQueued: 20000,
+	}
+}
+
+func rosterConfig() roster.Config {
+	return roster.Config{Silence: homeSilence, Listen: listenFirst, Forget: forgetPeer}
+}
