Bear late orders, lost homes and deaf watches

Two looks wait side by side; progress is judged by looks only. Ruled out: load, since the same window serves all without late orders.

--- a/command/site.go
+++ b/command/site.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"masticbay/platform"
@@ -38,9 +41,33 @@
 	if err != nil {
 		return err
 	}
+	reloadOnHangup(e, log)
 	return serve(e, node.Grace-stopReserve)
 }
 
+// reloader takes changed settings while it runs.
+type reloader interface {
+	Reload(node *platform.Node)
+}
+
+// reloadOnHangup reads the node's settings again at each SIGHUP. Settings that
+// can not be read leave those in force that are.
+func reloadOnHangup(r reloader, log zerolog.Logger) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	go func() {
+		for range ch {
+			node, err := platform.ReadNode()
+			if err != nil {
+				log.Error().Err(err).Msg("settings not reloaded")
+				continue
+			}
+			r.Reload(node)
+			log.Info().Strs("entries", node.Entries).Msg("settings reloaded")
+		}
+	}()
+}
+
 func runSiteAgent() error {
 	node, err := platform.ReadNode()
 	if err != nil {
@@ -52,5 +79,6 @@
 	if err != nil {
 		return err
 	}
+	reloadOnHangup(a, log)
 	return serve(a, node.Grace-stopReserve)
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -219,11 +219,7 @@
 	tk.failures++
 	if tk.failures == 1 {
 		// A task that failed elsewhere before says little about this worker.
-		t.streak++
-		if t.streak >= failStreak {
-			t.resume = now.Add(failPause)
-			c.note(Note{Agent: t.agent, What: "quarantine", Why: "runs failed one after the other"})
-		}
+		c.blame(now, t)
 	}
 	j.shun(t.agent)
 	if tk.failures >= j.Queue.MaxAttempts {
@@ -234,6 +230,15 @@
 	c.again(j, step, index)
 }
 
+// blame counts a run that failed or stalled against a worker.
+func (c *Core) blame(now time.Time, t *target) {
+	t.streak++
+	if t.streak >= failStreak && now.After(t.resume) {
+		t.resume = now.Add(failPause)
+		c.note(Note{Agent: t.agent, What: "quarantine", Why: "runs failed or stalled one after the other"})
+	}
+}
+
 func (j *job) shun(agent string) {
 	if j.avoid == nil {
 		j.avoid = make(map[string]bool)
@@ -331,8 +336,7 @@
 	c.note(Note{Job: j.ID, Agent: t.agent, Run: r, What: "runGivenUp", Why: why,
 		Values: map[string]float64{"ranMs": ms(now.Sub(tk.began)), "expectedMs": ms(tk.expected)}})
 	j.shun(t.agent)
-	t.slow.add(math.Log(float64(now.Sub(tk.began))/float64(max(tk.expected, time.Millisecond)))+t.slow.value, speedWindow)
-	t.resume = now.Add(failPause)
+	c.blame(now, t)
 	c.stop(j, r.Task.Step, r.Task.Index)
 }
 
--- a/site/agent.go
+++ b/site/agent.go
@@ -36,7 +36,6 @@
 	rpc     *wire.Server
 	http    *http.Server
 	stop    chan struct{}
-	wake    chan struct{} // a look is due at once
 	entries entryList
 
 	mu      sync.Mutex // guards what follows
@@ -57,7 +56,7 @@
 	a = &Agent{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker), store: platform.NewStore(o.Node.Store),
-		stop: make(chan struct{}), wake: make(chan struct{}, 1),
+		stop:  make(chan struct{}),
 		guard: worker.NewGuard(guardConfig()), news: make(chan struct{}), taken: make(map[string]uint64),
 	}
 	a.entries.add(o.Node.Entries...)
@@ -75,7 +74,9 @@
 	a.http = &http.Server{Handler: platform.HandleReports(a.report, a.badReport), ReadHeaderTimeout: time.Second}
 	go a.rpc.Serve(internal)
 	go func() { _ = a.http.Serve(control) }()
-	go a.lookDuty()
+	for range lookers {
+		go a.lookDuty()
+	}
 	go a.tickDuty()
 	go a.announceDuty()
 	a.log.Info().Str("life", a.life).Str("node", a.node.Name).Str("worker", a.node.Worker).Msg("agent started")
@@ -86,6 +87,9 @@
 // stopped.
 func (a *Agent) Done() <-chan struct{} { return nil }
 
+// Reload takes changed settings; see Entry.Reload.
+func (a *Agent) Reload(n *platform.Node) { a.entries.add(n.Entries...) }
+
 // Stop takes no new tasks, waits for those that run until ctx ends, and ends.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.mu.Lock()
@@ -141,7 +145,7 @@
 			Int("cpu", after.Capacity.CPU).Strs("labels", after.Labels).Msg("worker changed")
 		a.version++
 		a.tell()
-		a.wakeLook()
+		go a.look(0)
 	}
 }
 
@@ -155,13 +159,6 @@
 	a.news = make(chan struct{})
 }
 
-func (a *Agent) wakeLook() {
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
-}
-
 // perform carries out the orders that the guard has decided on. The caller
 // holds mu.
 func (a *Agent) perform() {
@@ -183,7 +180,7 @@
 	if err != nil {
 		a.log.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
 		a.guard.Unanswered(o.Start.Run)
-		a.wakeLook()
+		go a.look(0) // with the higher token
 		return
 	}
 	reason := ""
@@ -215,11 +212,10 @@
 			return
 		default:
 		}
-		if !a.look() {
+		if !a.look(lookWait) {
 			select {
 			case <-a.stop:
 				return
-			case <-a.wake:
 			case <-time.After(lookPause):
 			}
 		}
@@ -227,24 +223,27 @@
 }
 
 // lookPause is the pause after a look that failed.
-const lookPause = 50 * time.Millisecond
+const lookPause = 20 * time.Millisecond
 
-// look asks the worker once and reports whether it answered.
-func (a *Agent) look() bool {
+// look asks the worker once, which may wait for an end, and reports whether it
+// answered.
+func (a *Agent) look(wait time.Duration) bool {
 	a.mu.Lock()
 	token, seen, until := a.guard.Token(), a.guard.Seen(), a.guard.Until(a.now())
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), lookWait+lookSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), wait+lookSlack)
 	defer cancel()
-	ans, err := a.worker.Hold(ctx, until, token, seen, a.lookWait())
+	ans, err := a.worker.Hold(ctx, until, token, seen, wait)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
 	switch {
 	case err != nil:
 		a.guard.LookFailed(now)
-		a.noteSilence(true, err)
-		a.tell()
+		if a.guard.Silent() {
+			a.noteSilence(true, err)
+			a.tell()
+		}
 		return false
 	case !ans.Taken:
 		a.guard.Fenced(now, ans.Clock)
@@ -259,25 +258,15 @@
 	for _, e := range ans.Ended {
 		l.Ended = append(l.Ended, worker.Ended{Number: e.Number, Run: e.Run, End: e.End})
 	}
+	before := a.guard.Running()
 	a.guard.Looked(now, l)
 	a.perform()
-	if len(ans.Ended) > 0 {
+	if a.guard.Running() != before {
 		a.tell()
 	}
 	return true
 }
 
-// lookWait returns how long the next look may wait at the worker: not at all
-// while an order has not been answered.
-func (a *Agent) lookWait() time.Duration {
-	select {
-	case <-a.wake:
-		return 0
-	default:
-		return lookWait
-	}
-}
-
 // noteSilence logs when the worker stops or begins to answer. The caller holds
 // mu.
 func (a *Agent) noteSilence(silent bool, err error) {
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -59,16 +59,13 @@
 	a.perform()
 }
 
-// idleAge is the age from which a run without any progress is told to its home.
-const idleAge = 150 * time.Millisecond
-
 // reportFor returns what a home is told. The caller holds mu.
 func (a *Agent) reportFor(home string, acked uint64) schedule.Report {
 	t, serves := a.guard.Target()
 	_, others := a.guard.Used(home)
 	r := schedule.Report{
 		Life: a.life, Target: t, Ready: serves && !a.leaving && !a.guard.Silent(),
-		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home, a.now(), idleAge),
+		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home),
 	}
 	for _, e := range a.guard.Events(home, acked) {
 		r.Events = append(r.Events, event(e))
--- a/site/entry.go
+++ b/site/entry.go
@@ -48,6 +48,8 @@
 	agents   map[string]time.Time // by address: last announcement
 	pull     map[string]bool      // peers that a configuration is being fetched from
 	lastHome string
+	sessions map[string]uint64 // by address of a home; see RunArgs
+	jobs     map[string]int    // by address of a home: jobs that it has from here
 }
 
 // StartEntry starts the daemon.
@@ -59,6 +61,7 @@
 	e = &Entry{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store),
 		stop: make(chan struct{}), peers: make(map[string]*wire.Client), agents: make(map[string]time.Time), pull: make(map[string]bool),
+		sessions: make(map[string]uint64), jobs: make(map[string]int),
 	}
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
@@ -71,6 +74,7 @@
 		return nil, err
 	}
 	go e.configDuty()
+	go e.readDuty()
 	go e.registerDuty()
 	go e.greetDuty()
 	go e.home.duty()
@@ -111,6 +115,10 @@
 // stopped.
 func (e *Entry) Done() <-chan struct{} { return nil }
 
+// Reload takes changed settings. Addresses and limits of a VM do not change
+// during the life of a process; entries may.
+func (e *Entry) Reload(n *platform.Node) { e.known.add(n.Entries...) }
+
 // Stop lets the balancer notice, hands the part of the home over, and serves
 // what is open until ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
--- a/site/entry_config.go
+++ b/site/entry_config.go
@@ -16,6 +16,35 @@
 	configRetryLimit = time.Second // the longest pause while the store does not answer
 )
 
+// readDuty reads the configuration now and then, since a watch of a store that
+// drops its history may miss a change. The home reads often; the others hear of
+// a new version when they greet it.
+func (e *Entry) readDuty() {
+	for {
+		pause := readOther
+		if m, ok := e.currentHome(); !ok || m.Life == e.life {
+			pause = readHome
+		}
+		select {
+		case <-e.stop:
+			return
+		case <-time.After(pause):
+		}
+		it, _, err := e.store.Get(context.Background(), platform.ConfigKey)
+		if err != nil {
+			e.log.Debug().Err(err).Msg("configuration not read")
+			continue
+		}
+		e.applyConfig(it.Value, "store, read")
+	}
+}
+
+// A configuration has to be in force 2 s after it was written.
+const (
+	readHome  = 800 * time.Millisecond
+	readOther = 3 * time.Second
+)
+
 // configDuty keeps the operator's configuration up to date from the store.
 func (e *Entry) configDuty() {
 	var rev uint64
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -32,7 +32,7 @@
 // Greet exchanges what two entries tell about themselves.
 func (m *entryMethods) Greet(args *GreetArgs, reply *GreetReply) error {
 	m.e.hear((*GreetReply)(args))
-	*reply = GreetReply(m.e.greeting())
+	*reply = GreetReply(m.e.greeting(args.Member.Address))
 	return nil
 }
 
@@ -44,11 +44,12 @@
 	return nil
 }
 
-func (e *Entry) greeting() GreetArgs {
+// greeting returns what the entry at an address is told.
+func (e *Entry) greeting(to string) GreetArgs {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	args := GreetArgs{Member: e.roster.Self(), Entries: e.roster.Addresses(now)}
+	args := GreetArgs{Member: e.roster.Self(), Session: e.sessions[to], Entries: e.roster.Addresses(now)}
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
@@ -62,7 +63,7 @@
 	e.mu.Unlock()
 	e.known.add(g.Member.Address)
 	e.known.add(g.Entries...)
-	e.home.heard(g.Member.Life)
+	e.home.heard(g.Member.Life, g.Session)
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
@@ -78,7 +79,8 @@
 		home, _ := e.currentHome()
 		now := e.now()
 		for _, address := range e.known.all() {
-			if address == e.node.Internal || address != home.Address && now.Sub(last[address]) < greetOthers {
+			often := address == home.Address || e.hasJobsAt(address)
+			if address == e.node.Internal || !often && now.Sub(last[address]) < greetOthers {
 				continue
 			}
 			last[address] = now
@@ -92,6 +94,13 @@
 	}
 }
 
+// hasJobsAt reports whether a home has jobs from here.
+func (e *Entry) hasJobsAt(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.jobs[address] > 0
+}
+
 // greetAll greets all entries at once.
 func (e *Entry) greetAll() {
 	for _, address := range e.known.all() {
@@ -104,7 +113,7 @@
 func (e *Entry) greet(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
-	args := e.greeting()
+	args := e.greeting(address)
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
 	if err != nil {
 		return // silence is judged by the roster
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -89,22 +89,52 @@
 		out, moved = e.home.run(ctx, args)
 		return out, moved, nil
 	}
+	args.Session = e.enter(m.Address)
+	defer e.exit(m.Address)
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go e.watchHome(watch, cancel, m)
+	go e.watchHome(watch, cancel, m, args.Session)
 	c := e.peer(m.Address)
 	rep, err := wire.Call[RunArgs, RunReply](watch, c, entryRun, args)
-	if err == nil {
+	switch {
+	case err == nil:
 		return rep.Outcome, rep.Moved, nil
-	}
-	if ctx.Err() != nil {
-		e.withdrawAt(c, args.Job.ID)
+	case ctx.Err() != nil:
+		e.withdrawAt(c, &WithdrawArgs{Entry: e.life, Session: args.Session, Job: args.Job.ID})
+	case !errors.Is(err, wire.ErrNotSent):
+		e.endSession(m.Address, args.Session)
 	}
 	return out, false, err
 }
 
-// watchHome ends the wait for a home that is out of contact.
-func (e *Entry) watchHome(ctx context.Context, cancel context.CancelFunc, m roster.Member) {
+// enter notes that a home gets a job, and returns the session that it is part
+// of.
+func (e *Entry) enter(address string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.jobs[address]++
+	return e.sessions[address]
+}
+
+func (e *Entry) exit(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.jobs[address]--
+}
+
+// endSession gives up all jobs that a home has from here, and tells it so with
+// the next greeting if it can be reached.
+func (e *Entry) endSession(address string, session uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sessions[address] == session {
+		e.sessions[address]++
+	}
+}
+
+// watchHome ends the wait for a home that is out of contact, or at which the
+// session has ended.
+func (e *Entry) watchHome(ctx context.Context, cancel context.CancelFunc, m roster.Member, session uint64) {
 	tick := time.NewTicker(greetHome)
 	defer tick.Stop()
 	for {
@@ -113,16 +143,19 @@
 			return
 		case <-tick.C:
 		}
-		if !e.inContact(m) {
+		if !e.inContact(m, session) {
 			cancel()
 			return
 		}
 	}
 }
 
-func (e *Entry) inContact(m roster.Member) bool {
+func (e *Entry) inContact(m roster.Member, session uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.sessions[m.Address] != session {
+		return false
+	}
 	for _, p := range e.roster.InContact(e.now()) {
 		if p.Life == m.Life {
 			return true
@@ -132,12 +165,11 @@
 }
 
 // withdrawAt tells a home that nobody waits for a job any more.
-func (e *Entry) withdrawAt(c *wire.Client, id string) {
+func (e *Entry) withdrawAt(c *wire.Client, args *WithdrawArgs) {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
-	args := WithdrawArgs{Entry: e.life, Job: id}
-	if _, err := wire.Call[WithdrawArgs, WithdrawReply](ctx, c, entryWithdraw, &args); err != nil {
-		e.log.Info().Err(err).Str("job", id).Msg("job not withdrawn")
+	if _, err := wire.Call[WithdrawArgs, WithdrawReply](ctx, c, entryWithdraw, args); err != nil {
+		e.log.Info().Err(err).Str("job", args.Job).Msg("job not withdrawn")
 	}
 }
 
@@ -149,6 +181,6 @@
 
 // Withdraw takes a job back.
 func (m *entryMethods) Withdraw(args *WithdrawArgs, _ *WithdrawReply) error {
-	m.e.home.withdraw(args.Entry, args.Job)
+	m.e.home.withdraw(caller{args.Entry, args.Session}, args.Job)
 	return nil
 }
--- a/site/home.go
+++ b/site/home.go
@@ -23,19 +23,31 @@
 	core    *schedule.Core
 	waiters map[string][]*waiter // by job
 	links   map[string]*link     // by agent
-	entries map[string]time.Time // by incarnation: when it was heard
+	entries map[string]contact   // by incarnation
+}
+
+// contact is what a home knows of an entry that gives it jobs.
+type contact struct {
+	session uint64
+	heard   time.Time
+}
+
+// caller is an entry's session.
+type caller struct {
+	life    string
+	session uint64
 }
 
 // waiter is an entry that waits for a job.
 type waiter struct {
-	entry string
+	entry caller
 	done  chan work.Outcome // with room for one
 }
 
 func newHome(e *Entry) *home {
 	return &home{
 		e: e, log: e.log, due: make(chan struct{}, 1), core: schedule.NewCore(coreConfig()),
-		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]time.Time),
+		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]contact),
 	}
 }
 
@@ -47,11 +59,27 @@
 	}
 }
 
-// heard notes a sign of life of another entry.
-func (h *home) heard(life string) {
+// heard notes a sign of life of another entry. A new session ends the earlier
+// ones.
+func (h *home) heard(life string, session uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries[life] = h.e.now()
+	h.hear(caller{life, session})
+	h.flush()
+}
+
+// hear is heard with mu held and without flush. It reports whether the session
+// is the newest of the entry.
+func (h *home) hear(c caller) bool {
+	have := h.entries[c.life]
+	if c.session < have.session {
+		return false
+	}
+	h.entries[c.life] = contact{c.session, h.e.now()}
+	if c.session > have.session {
+		h.dropCallers("its entry gave it up", func(o caller) bool { return o.life == c.life && o.session < c.session })
+	}
+	return true
 }
 
 // busy reports whether jobs of callers are under way here.
@@ -74,9 +102,12 @@
 	if m, ok := h.e.currentHome(); !ok || m.Life != h.e.life {
 		return out, true
 	}
-	w := &waiter{entry: args.Entry, done: make(chan work.Outcome, 1)}
+	w := &waiter{entry: caller{args.Entry, args.Session}, done: make(chan work.Outcome, 1)}
 	h.mu.Lock()
-	h.entries[args.Entry] = h.e.now()
+	if !h.hear(w.entry) {
+		h.mu.Unlock()
+		return out, true
+	}
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
 	h.core.Submit(h.e.now(), args.Job, args.FirstRun)
 	h.flush()
@@ -91,7 +122,7 @@
 }
 
 // withdraw takes a job back for an entry.
-func (h *home) withdraw(entry, id string) {
+func (h *home) withdraw(entry caller, id string) {
 	h.leave(id, func(o *waiter) bool { return o.entry == entry })
 }
 
@@ -169,17 +200,24 @@
 // dropSilent withdraws the jobs of entries that are out of contact: their
 // callers may submit again elsewhere. The caller holds mu.
 func (h *home) dropSilent(now time.Time) {
-	for life, heard := range h.entries {
-		if now.Sub(heard) <= entryContact {
+	for life, c := range h.entries {
+		if life == h.e.life || now.Sub(c.heard) <= entryContact {
 			continue
 		}
-		delete(h.entries, life)
-		for id, ws := range h.waiters {
-			gone := func(o *waiter) bool { return o.entry == life && life != h.e.life }
-			if slices.ContainsFunc(ws, gone) {
-				h.log.Warn().Str("job", id).Str("entry", life).Dur("silentMs", now.Sub(heard)).Msg("job withdrawn: its entry is out of contact")
-				h.drop(id, gone)
-			}
+		h.dropCallers("its entry is out of contact", func(o caller) bool { return o.life == life })
+		if now.Sub(c.heard) > forgetPeer {
+			delete(h.entries, life)
+		}
+	}
+}
+
+// dropCallers withdraws the jobs of some entries. The caller holds mu.
+func (h *home) dropCallers(why string, which func(caller) bool) {
+	gone := func(w *waiter) bool { return which(w.entry) }
+	for id, ws := range h.waiters {
+		if slices.ContainsFunc(ws, gone) {
+			h.log.Warn().Str("job", id).Str("why", why).Msg("job withdrawn")
+			h.drop(id, gone)
 		}
 	}
 }
--- a/site/messages.go
+++ b/site/messages.go
@@ -61,6 +61,7 @@
 // GreetArgs is exchanged between entries.
 type GreetArgs struct {
 	Member  roster.Member
+	Session uint64   // of the sender at the receiver; see RunArgs
 	Entries []string // that the sender knows
 	Config  uint64   // version of the configuration that it has in force
 }
@@ -71,6 +72,7 @@
 // RunArgs hands a job to the home.
 type RunArgs struct {
 	Entry    string // incarnation of the sender
+	Session  uint64 // rises when the sender gives up the jobs that it has at the receiver
 	Job      work.Job
 	FirstRun int // runs are numbered from the next one
 }
@@ -83,8 +85,9 @@
 
 // WithdrawArgs takes a job back.
 type WithdrawArgs struct {
-	Entry string
-	Job   string
+	Entry   string
+	Session uint64
+	Job     string
 }
 
 // WithdrawReply is empty.
--- a/site/site.go
+++ b/site/site.go
@@ -39,9 +39,12 @@
 //   - workerLease later if the agent stands still.
 const (
 	workerLease   = 800 * time.Millisecond // two lost looks are borne
-	lookWait      = 150 * time.Millisecond // a look returns at an end, or after this
-	lookSlack     = 150 * time.Millisecond // for the answer to a look that has waited
-	orderTimeout  = 200 * time.Millisecond // then a start counts as unanswered
+	lookWait      = 100 * time.Millisecond // a look returns at an end, or after this
+	lookSlack     = 50 * time.Millisecond  // for the answer to a look that has waited
+	lookers       = 2                      // looks that wait side by side, as one may get no answer
+	workerSilence = 250 * time.Millisecond // without an answered look: no new task
+	idleAge       = 150 * time.Millisecond // from which a run is expected to show progress
+	orderTimeout  = 60 * time.Millisecond  // then a start counts as unanswered; answers take 2 ms
 	agentContact  = 450 * time.Millisecond // silence of a home after which an agent stops its runs
 	orderLife     = 400 * time.Millisecond // oldest echo with which an agent takes an order
 	syncWait      = 100 * time.Millisecond // so an agent hears its home four times in agentContact
@@ -54,7 +57,7 @@
 	greetOthers   = 400 * time.Millisecond
 	greetTimeout  = 250 * time.Millisecond
 	peerSilence   = 1200 * time.Millisecond             // of entries that are not home
-	failover      = agentContact + 150*time.Millisecond // after the last message to a lost home
+	failover      = agentContact + 400*time.Millisecond // after the last message to a lost home: leases, and a stop sent twice
 	announceEvery = 700 * time.Millisecond
 	agentKnown    = 2500 * time.Millisecond // silence after which an entry forgets an agent
 	listenFirst   = 500 * time.Millisecond  // before an entry makes itself home
@@ -63,7 +66,7 @@
 )
 
 func guardConfig() worker.Config {
-	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer}
+	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
 }
 
 func coreConfig() schedule.Config {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -43,6 +43,8 @@
 	Contact   time.Duration // how long an entry may be silent before its runs are stopped
 	OrderLife time.Duration // oldest echo with which an order is taken
 	Forget    time.Duration // how long events of a silent entry are kept
+	Silence   time.Duration // time without an answered look after which the worker gets no task
+	IdleAge   time.Duration // age from which a run is expected to show progress
 }
 
 // clockDrift bounds how much slower the worker's clock may run, as a factor.
@@ -68,7 +70,7 @@
 	token   uint64    // with which it was sent last
 	sent    time.Time // first order
 	stopped time.Time // last stop order
-	percent int
+	idle    bool      // a look has shown no progress at an age of Config.IdleAge
 }
 
 // Event tells an entry how a run of its own ended.
@@ -100,8 +102,9 @@
 	target   work.Target
 	known    bool // a heartbeat has described the target
 	leaving  bool
-	silent   bool // the last look was not answered
-	settled  bool // nothing runs that this Guard did not order
+	silent   bool      // no look has been answered for Config.Silence
+	looked   time.Time // last answered look
+	settled  bool      // nothing runs that this Guard did not order
 	token    uint64
 	acked    uint64 // highest token that the worker acknowledged
 	seen     uint64 // last end that was taken note of
@@ -130,7 +133,7 @@
 // Settled reports whether nothing runs that this Guard did not order.
 func (g *Guard) Settled() bool { return g.settled }
 
-// Silent reports whether the worker did not answer the last look.
+// Silent reports whether the worker has not answered for a while.
 func (g *Guard) Silent() bool { return g.silent }
 
 // Running returns the number of runs that may be at work.
@@ -356,7 +359,7 @@
 	if l.Born != 0 && l.Born < g.target.Born {
 		return
 	}
-	g.silent = false
+	g.silent, g.looked = false, now
 	g.readClock(now, l.Clock)
 	if g.token == 0 {
 		g.raise()
@@ -384,7 +387,7 @@
 			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token})
 			continue
 		}
-		have.percent = percent
+		have.idle = percent == 0 && now.Sub(have.sent) > g.cfg.IdleAge
 		if have.phase == unclear {
 			have.phase = running
 		}
@@ -408,8 +411,7 @@
 
 // LookFailed notes that the worker did not answer a look.
 func (g *Guard) LookFailed(now time.Time) {
-	g.silent = true
-	g.raise()
+	g.silent = now.Sub(g.looked) > g.cfg.Silence
 	g.expire(now)
 }
 
@@ -447,12 +449,11 @@
 	return slices.Clone(s.events)
 }
 
-// Idle returns the runs of an entry that are older than age and have made no
-// progress.
-func (g *Guard) Idle(entry string, now time.Time, age time.Duration) []work.Run {
+// Idle returns the runs of an entry that have made no progress for long.
+func (g *Guard) Idle(entry string) []work.Run {
 	var idle []work.Run
 	for _, r := range g.runs {
-		if r.entry == entry && r.phase == running && r.percent == 0 && now.Sub(r.sent) > age {
+		if r.entry == entry && r.phase == running && r.idle {
 			idle = append(idle, r.start.Run)
 		}
 	}
