Find homes and agents sooner after a full stop

Cause: entries out of their listening time took turns as home, since others were greeted more rarely than the time after which they counted as silent; agents announced themselves every 700 ms only. Ruled out: workers, which send heartbeats within 20 ms of an agent's start.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,9 +25,10 @@
 
 // Config holds the times of a Roster.
 type Config struct {
-	Silence time.Duration // after which an entry counts as out of contact
-	Listen  time.Duration // from the start, before an entry makes itself home
-	Forget  time.Duration // after which nothing is kept about a silent entry
+	HomeSilence time.Duration // after which a home counts as out of contact; it is greeted often
+	Silence     time.Duration // after which another entry does
+	Listen      time.Duration // from the start, before an entry makes itself home
+	Forget      time.Duration // after which nothing is kept about a silent entry
 }
 
 // Member is what an entry tells about itself.
@@ -37,6 +38,7 @@
 	Life    string // incarnation of the process
 	Cores   float64
 	Leaving bool
+	Young   bool   // it still listens for a home and does not become one
 	Term    uint64 // under which it acts as home; 0 if it does not
 	Agents  int    // agents that it hears of
 }
@@ -61,7 +63,10 @@
 }
 
 // Self returns what this entry tells about itself.
-func (r *Roster) Self() Member { return r.self }
+func (r *Roster) Self(now time.Time) Member {
+	r.self.Young = now.Sub(r.since) < r.cfg.Listen
+	return r.self
+}
 
 // Leave marks this entry as leaving.
 func (r *Roster) Leave() { r.self.Leaving, r.self.Term = true, 0 }
@@ -90,7 +95,7 @@
 func (r *Roster) InContact(now time.Time) []Member {
 	var ms []Member
 	for _, p := range r.peers {
-		if now.Sub(p.heard) <= r.cfg.Silence {
+		if now.Sub(p.heard) <= r.silence(p) {
 			ms = append(ms, p.Member)
 		}
 	}
@@ -98,11 +103,18 @@
 	return ms
 }
 
+func (r *Roster) silence(p *peer) time.Duration {
+	if p.Term > 0 {
+		return r.cfg.HomeSilence
+	}
+	return r.cfg.Silence
+}
+
 // Home returns the entry that acts as home, which may be this one. It makes
 // this entry home if there is none and it is the strongest, and stops it from
 // being home if there is a better one.
 func (r *Roster) Home(now time.Time) (m Member, ok bool) {
-	members := append(r.InContact(now), r.self)
+	members := append(r.InContact(now), r.Self(now))
 	most := 0
 	for i := range members {
 		most = max(most, members[i].Agents)
@@ -116,11 +128,11 @@
 		if m.Term > 0 && (home == nil || outranks(m, home)) {
 			home = m
 		}
-		if strongest == nil || stronger(m, strongest) {
+		if !m.Young && (strongest == nil || stronger(m, strongest)) {
 			strongest = m
 		}
 	}
-	if home == nil && strongest != nil && strongest.Address == r.self.Address && now.Sub(r.since) >= r.cfg.Listen {
+	if home == nil && strongest != nil && strongest.Address == r.self.Address {
 		r.top++
 		r.self.Term = r.top
 		return r.self, true
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -35,7 +35,7 @@
 		}
 	}
 	delay := time.Duration(0)
-	if isNew {
+	if isNew && now.After(c.settle) {
 		delay = time.Duration(c.ahead(j) / speed * float64(time.Millisecond))
 	}
 	need := time.Duration(float64(c.chain(j))*c.fastest(now, j.Queue.Service)) + c.cfg.Margin
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -57,6 +57,7 @@
 	ended   map[string]work.Outcome
 	endings []string         // keys of ended, oldest first
 	bias    map[string]*mean // by queue: run time over estimate on a worker of speed 1
+	settle  time.Time        // until then more workers are expected to come into contact
 	out     Decisions
 }
 
@@ -179,7 +180,7 @@
 	}
 	c.jobs[w.ID] = j
 	c.unblock(j)
-	if why, retry := c.hopeless(now, j, true); why != "" {
+	if why, retry := c.hopeless(now, j, true); why != "" && why != reasonNoWorkers {
 		c.reject(now, j, why, retry)
 		return
 	}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -69,11 +69,16 @@
 	Took   time.Duration
 }
 
+// settleTime is how long after a worker came into contact more are expected.
+// Until then no job is turned away for the work that waits before it.
+const settleTime = 400 * time.Millisecond
+
 // Report takes what an agent told.
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
 		t = &target{agent: agent, life: r.Life, runs: make(map[work.TaskRef]work.Run)}
+		c.settle = now.Add(settleTime)
 		c.targets[agent] = t
 		c.names = append(c.names, agent)
 		slices.Sort(c.names)
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -39,16 +39,22 @@
 func (a *Agent) announceDuty() {
 	clients := make(map[string]*wire.Client)
 	var lookup time.Time
+	begun := a.now()
 	for {
-		heard := a.announce(clients)
-		if now := a.now(); heard == 0 && now.Sub(lookup) > entryLookup {
+		heard, all := a.announce(clients)
+		now := a.now()
+		if heard == 0 && now.Sub(lookup) > entryLookup {
 			lookup = now
 			go a.findEntries()
 		}
+		pause := announceEvery
+		if heard == 0 || heard < all && now.Sub(begun) < announceYoung {
+			pause = announceSoon
+		}
 		select {
 		case <-a.stop:
 			return
-		case <-time.After(announceEvery):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -56,8 +62,8 @@
 // entryLookup is the pause between looks for entries in the store.
 const entryLookup = 3 * time.Second
 
-// announce calls all entries at once and returns how many answered.
-func (a *Agent) announce(clients map[string]*wire.Client) int {
+// announce calls all entries at once and returns how many answered, of how many.
+func (a *Agent) announce(clients map[string]*wire.Client) (n, all int) {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
 	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service}
@@ -79,13 +85,12 @@
 			answered <- err == nil
 		}()
 	}
-	n := 0
 	for range addresses {
 		if <-answered {
 			n++
 		}
 	}
-	return n
+	return n, len(addresses)
 }
 
 // rpcOptions bound the connections between the processes of a site. A dial
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -49,7 +49,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	args := GreetArgs{Member: e.roster.Self(), Session: e.sessions[to], Entries: e.roster.Addresses(now)}
+	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Entries: e.roster.Addresses(now)}
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
@@ -79,7 +79,7 @@
 		home, _ := e.currentHome()
 		now := e.now()
 		for _, address := range e.known.all() {
-			often := address == home.Address || e.hasJobsAt(address)
+			often := home.Address == "" || address == home.Address || e.hasJobsAt(address)
 			if address == e.node.Internal || !often && now.Sub(last[address]) < greetOthers {
 				continue
 			}
--- a/site/link.go
+++ b/site/link.go
@@ -35,6 +35,15 @@
 	l.client.Close()
 }
 
+func (l *link) closed() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // duty asks the agent for news again and again.
 func (l *link) duty() {
 	for {
@@ -85,7 +94,7 @@
 	rep, err := wire.Call[SyncArgs, SyncReply](ctx, l.client, agentSync, &args)
 	if err != nil {
 		l.client.Reset()
-		if !l.silent.Swap(true) {
+		if !l.closed() && !l.silent.Swap(true) {
 			l.h.log.Warn().Err(err).Str("agent", l.agent).Msg("agent does not answer")
 		}
 		return false
--- a/site/site.go
+++ b/site/site.go
@@ -59,8 +59,10 @@
 	peerSilence   = 1200 * time.Millisecond             // of entries that are not home
 	failover      = agentContact + 400*time.Millisecond // after the last message to a lost home: leases, and a stop sent twice
 	announceEvery = 700 * time.Millisecond
+	announceSoon  = 100 * time.Millisecond // while an agent is young and some entry does not answer, or none does
+	announceYoung = 5 * time.Second
 	agentKnown    = 2500 * time.Millisecond // silence after which an entry forgets an agent
-	listenFirst   = 500 * time.Millisecond  // before an entry makes itself home
+	listenFirst   = 300 * time.Millisecond  // before an entry makes itself home
 	forgetPeer    = 30 * time.Second
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
@@ -77,5 +79,5 @@
 }
 
 func rosterConfig() roster.Config {
-	return roster.Config{Silence: homeSilence, Listen: listenFirst, Forget: forgetPeer}
+	return roster.Config{HomeSilence: homeSilence, Silence: peerSilence, Listen: listenFirst, Forget: forgetPeer}
 }
