Stop an entry that knows no peer once its registry is old

Price: a single entry refuses non-idempotent jobs during an outage of the key-value service that lasts longer than a window.

--- a/dispatch/promises_test.go
+++ b/dispatch/promises_test.go
@@ -300,3 +300,17 @@
 		})
 	}
 }
+
+// TestSchedulesThatOnceFailed repeats random schedules that started a task twice
+// before their cause was mended.
+func TestSchedulesThatOnceFailed(t *testing.T) {
+	for _, seed := range []uint64{
+		1207235, // an entry that was cut off died and was removed, and its dispatches were not asked for
+		1833904, // agents were asked over an older registry than another claim's
+		1657778, // an entry that knew no peer did not notice that it had been given up
+	} {
+		if w := walk(seed, rule{}); len(w.wrong) > 0 {
+			t.Errorf("seed %d: %s", seed, w.wrong[0])
+		}
+	}
+}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+// TestEntryAloneStopsWithAnOldRegistry: entries that joined behind a cut may have
+// given up an entry that knows no peer.
+func TestEntryAloneStopsWithAnOldRegistry(t *testing.T) {
+	v := member.NewView("e1", window, contact, begin)
+	v.Update(begin, with(1, "e1"))
+	v.Refresh(begin)
+	if !v.MayRun(begin.Add(window / 2)) {
+		t.Error("stops although its registry is fresh")
+	}
+	if v.MayRun(begin.Add(window)) {
+		t.Error("runs jobs although it may have been given up")
+	}
+}
+
 func TestSilentAgentIsSuspendedAndThenRemoved(t *testing.T) {
 	v := member.NewView("e1", window, contact, begin)
 	w := member.NewWatchdog("e1", window)
--- a/member/view.go
+++ b/member/view.go
@@ -261,9 +261,21 @@
 // must be introduced. And it stops when for a window it has neither heard of
 // some peer nor known its registry to be the newest: the peer may then have
 // given up this entry and all agents that it knows, and no claim could tell.
+// An entry that knows no peer has none that could be silent, so for it an old
+// registry is enough: others may have joined and given it up.
 func (v *View) MayRun(now time.Time) bool {
 	old := v.Age(now) > v.window-v.contact
-	return v.Introduced(now) && !(old && v.gap(now))
+	return v.Introduced(now) && !(old && (v.alone() || v.gap(now)))
+}
+
+// alone reports whether no listed entry but this one is known to live.
+func (v *View) alone() bool {
+	for _, e := range v.current.Entries {
+		if e.ID != v.self && !v.gone[e.ID] {
+			return false
+		}
+	}
+	return true
 }
 
 // Isolated reports whether some entry is out of contact that may have run jobs.
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,93 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/roster"
+)
+
+var (
+	cfg   = roster.Config{HomeSilence: 350 * time.Millisecond, Silence: 1200 * time.Millisecond, Listen: 300 * time.Millisecond, Forget: time.Minute}
+	begin = time.Unix(1000, 0)
+	ready = begin.Add(cfg.Listen)
+)
+
+func member(name string, term uint64) roster.Member {
+	return roster.Member{Name: name, Address: name + ":1", Life: name + "-1", Cores: 0.4, Term: term, Agents: 11}
+}
+
+func newRoster(name string) *roster.Roster {
+	r := roster.New(begin, member(name, 0), cfg)
+	r.SetAgents(11)
+	return r
+}
+
+func wantHome(t *testing.T, r *roster.Roster, now time.Time, want string) {
+	t.Helper()
+	if home, _ := r.Home(now); home.Name != want {
+		t.Errorf("home %q, want %q", home.Name, want)
+	}
+}
+
+func TestStrongestTakesOverAfterListening(t *testing.T) {
+	r := newRoster("a")
+	r.Hear(begin, member("b", 0))
+	wantHome(t, r, begin, "")
+	wantHome(t, r, ready, "a")
+	if r.Self(ready).Term != 1 {
+		t.Error("no term was taken")
+	}
+}
+
+func TestHomeStaysAlthoughAStrongerEntryJoins(t *testing.T) {
+	r := newRoster("a")
+	r.Hear(ready, member("b", 3))
+	wantHome(t, r, ready, "b")
+}
+
+func TestSilentHomeIsReplacedSoon(t *testing.T) {
+	r := newRoster("a")
+	r.Hear(ready, member("b", 3))
+	wantHome(t, r, ready.Add(cfg.HomeSilence), "b")
+	wantHome(t, r, ready.Add(cfg.HomeSilence+time.Millisecond), "a")
+	if got := r.Self(ready).Term; got != 4 {
+		t.Errorf("term %d, want 4", got)
+	}
+}
+
+func TestYoungEntryIsNotWaitedFor(t *testing.T) {
+	r := newRoster("b")
+	young := member("a", 0)
+	young.Young = true
+	r.Hear(ready, young)
+	wantHome(t, r, ready, "b")
+}
+
+func TestTwoHomesBecomeOne(t *testing.T) {
+	r := newRoster("a")
+	wantHome(t, r, ready, "a")
+	r.Hear(ready, member("b", 2))
+	wantHome(t, r, ready, "b")
+	if r.Self(ready).Term != 0 {
+		t.Error("still acts as home")
+	}
+}
+
+func TestHomeThatHearsFewAgentsIsReplaced(t *testing.T) {
+	r := newRoster("a")
+	cut := member("b", 3)
+	cut.Agents = 2
+	r.Hear(ready, cut)
+	wantHome(t, r, ready, "a")
+}
+
+func TestLeavingEntryIsNoHome(t *testing.T) {
+	r := newRoster("a")
+	r.Hear(ready, member("b", 0))
+	wantHome(t, r, ready, "a")
+	r.Leave()
+	wantHome(t, r, ready, "")
+	r.Hear(ready, member("b", 2))
+	wantHome(t, r, ready, "b")
+}
--- a/site/agent.go
+++ b/site/agent.go
@@ -38,13 +38,14 @@
 	stop    chan struct{}
 	entries entryList
 
-	mu      sync.Mutex // guards what follows
-	guard   *worker.Guard
-	leaving bool
-	news    chan struct{} // closed and replaced when there are events
-	taken   map[string]uint64
-	down    bool   // the worker was logged as silent
-	version uint64 // of the worker's description
+	mu       sync.Mutex // guards what follows
+	guard    *worker.Guard
+	leaving  bool
+	news     chan struct{} // closed and replaced when there are events
+	taken    map[string]uint64
+	down     bool      // the worker was logged as silent
+	version  uint64    // of the worker's description
+	answered time.Time // when an entry last answered
 }
 
 // StartAgent starts the daemon.
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -35,20 +35,45 @@
 	return slices.Clone(l.addresses)
 }
 
-// announceDuty tells all entries of this agent.
+// announceDuty tells all entries of this agent, each in a goroutine of its own,
+// so that one that is out of contact does not delay the others.
 func (a *Agent) announceDuty() {
-	clients := make(map[string]*wire.Client)
+	told := make(map[string]bool)
 	var lookup time.Time
-	begun := a.now()
 	for {
-		heard, all := a.announce(clients)
+		for _, address := range a.entries.all() {
+			if !told[address] {
+				told[address] = true
+				go a.announceTo(address)
+			}
+		}
 		now := a.now()
-		if heard == 0 && now.Sub(lookup) > entryLookup {
+		a.mu.Lock()
+		lonely := now.Sub(a.answered) > announceEvery
+		a.mu.Unlock()
+		if lonely && now.Sub(lookup) > entryLookup {
 			lookup = now
 			go a.findEntries()
 		}
+		select {
+		case <-a.stop:
+			return
+		case <-time.After(announceSoon / 4):
+		}
+	}
+}
+
+// entryLookup is the pause between looks for entries in the store.
+const entryLookup = 3 * time.Second
+
+// announceTo tells one entry again and again.
+func (a *Agent) announceTo(address string) {
+	c := wire.NewClient(address, rpcOptions)
+	defer c.Close()
+	begun := a.now()
+	for {
 		pause := announceEvery
-		if heard == 0 || heard < all && now.Sub(begun) < announceYoung {
+		if !a.announce(c) && a.now().Sub(begun) < announceYoung {
 			pause = announceSoon
 		}
 		select {
@@ -59,38 +84,21 @@
 	}
 }
 
-// entryLookup is the pause between looks for entries in the store.
-const entryLookup = 3 * time.Second
-
-// announce calls all entries at once and returns how many answered, of how many.
-func (a *Agent) announce(clients map[string]*wire.Client) (n, all int) {
+// announce tells one entry and reports whether it answered.
+func (a *Agent) announce(c *wire.Client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
 	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service}
-	addresses := a.entries.all()
-	answered := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		c, ok := clients[address]
-		if !ok {
-			c = wire.NewClient(address, rpcOptions)
-			clients[address] = c
-		}
-		go func() {
-			rep, err := wire.Call[AnnounceArgs, AnnounceReply](ctx, c, entryAnnounce, &args)
-			if err != nil {
-				c.Reset()
-			} else {
-				a.entries.add(rep.Entries...)
-			}
-			answered <- err == nil
-		}()
-	}
-	for range addresses {
-		if <-answered {
-			n++
-		}
+	rep, err := wire.Call[AnnounceArgs, AnnounceReply](ctx, c, entryAnnounce, &args)
+	if err != nil {
+		c.Reset()
+		return false
 	}
-	return n, len(addresses)
+	a.entries.add(rep.Entries...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answered = a.now()
+	return true
 }
 
 // rpcOptions bound the connections between the processes of a site. A dial
