--- a/schedule/core.go
+++ b/schedule/core.go
@@ -117,6 +117,17 @@
 	over      bool            // it has been answered
 	waits     bool            // it is in Core.waiting
 	avoid     map[string]bool // agents where a run failed or stalled
+	first     time.Time       // first placement
+	again     int             // runs that had to be repeated
+	last      lastRun         // the run that ended last
+}
+
+// lastRun tells what a job waited for in the end.
+type lastRun struct {
+	agent    string
+	wait     time.Duration // from the job's begin to the placement
+	took     time.Duration
+	expected time.Duration
 }
 
 type taskState int
@@ -261,6 +272,7 @@
 	}
 	j.over = true
 	c.dequeue(j)
+	c.noteEnd(j, out)
 	c.out.Outcomes = append(c.out.Outcomes, Ending{j.ID, out})
 	if out.State == work.Completed || out.State == work.JobFailed {
 		c.remember(j.ID, out)
@@ -268,6 +280,17 @@
 	c.discard(j)
 }
 
+// noteEnd tells how a job went, for the log.
+func (c *Core) noteEnd(j *job, out work.Outcome) {
+	if !j.sent {
+		return // a rejection has a note of its own
+	}
+	c.note(Note{Job: j.ID, Agent: j.last.agent, What: "jobEnded", Why: string(out.State) + " " + out.Reason, Values: map[string]float64{
+		"firstStartMs": ms(j.first.Sub(j.begun)), "objectiveMs": ms(j.objective.Sub(j.begun)), "tasks": float64(j.Tasks()),
+		"lastWaitMs": ms(j.last.wait), "lastRunMs": ms(j.last.took), "lastExpectedMs": ms(j.last.expected), "repeated": float64(j.again),
+	}})
+}
+
 // discard forgets a job that is answered once nothing of it runs.
 func (c *Core) discard(j *job) {
 	if j.over && j.running == 0 {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -210,7 +210,9 @@
 	j.pending--
 	c.queued--
 	j.running++
-	j.sent = true
+	if !j.sent {
+		j.sent, j.first = true, now
+	}
 	run := j.ref(step, index)
 	t.runs[run.Task] = run
 	t.used = t.used.Add(st.Room)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -184,8 +184,12 @@
 	j.running--
 	tk := &j.tasks[step][index]
 	tk.stopping = false
-	c.note(Note{Job: j.ID, Agent: t.agent, Run: e.Run, What: "runEnded", Why: string(e.End) + " " + e.Reason,
-		Values: map[string]float64{"tookMs": ms(e.Took), "expectedMs": ms(tk.expected)}})
+	j.last = lastRun{agent: t.agent, wait: tk.began.Sub(j.begun), took: e.Took, expected: tk.expected}
+	if e.End != work.Done {
+		j.again++
+		c.note(Note{Job: j.ID, Agent: t.agent, Run: e.Run, What: "runEnded", Why: string(e.End) + " " + e.Reason,
+			Values: map[string]float64{"tookMs": ms(e.Took), "expectedMs": ms(tk.expected)}})
+	}
 	switch e.End {
 	case work.Done:
 		c.learn(t, j, step, e.Took)
--- a/site/home.go
+++ b/site/home.go
@@ -255,9 +255,6 @@
 
 func (h *home) logNote(n *schedule.Note) {
 	ev := h.log.Info()
-	if n.What == "runEnded" {
-		ev = h.log.Debug()
-	}
 	if n.Job != "" {
 		ev = ev.Str("job", n.Job)
 	}
