--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -28,7 +28,7 @@
 		out, moved, err := e.runAt(ctx, home, &args)
 		switch {
 		case err == nil && !moved:
-			return out
+			return truthful(out, sent)
 		case moved:
 			sleep(ctx, homePoll)
 			continue
@@ -48,6 +48,15 @@
 	}
 }
 
+// truthful turns a rejection by one home into an unknown outcome if the job had
+// been handed to another home before, which may have run some of it.
+func truthful(out work.Outcome, sent bool) work.Outcome {
+	if sent && out.State == work.Rejected {
+		return work.Outcome{State: work.Unknown, Reason: "lost with its first home; then " + out.Reason}
+	}
+	return out
+}
+
 // homePoll is how often an entry looks for a home when there is none.
 const homePoll = 20 * time.Millisecond
 
