Place by uncertain work, and give up runs that make no progress

A worker now has to meet the objective for half and for twice the estimate, a task waits for one that can, and looks tell lack of progress. The stall test now uses progress; runs that are only slow have one of their own.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -121,32 +121,56 @@
 	}
 }
 
-// choose returns the slowest worker with room that still meets the objective,
-// or the fastest one with room if none does, or nil.
+// choose returns the slowest worker with room that still meets the objective.
+// If only workers without room do, it returns nil: the task waits for one of
+// them as long as that can still be in time. Else it returns the fastest one
+// with room.
 func (c *Core) choose(now time.Time, j *job, step int, open []*target) *target {
 	st := &j.Steps[step]
 	nominal := c.expect(j, step)
-	left := j.objective.Sub(now) - c.cfg.Margin
 	var meets, fastest *target
 	var meetsTime, fastestTime time.Duration
+	worthWaiting := false
 	for _, t := range open {
-		if !t.free().Holds(st.Room) || !c.suits(j, step, t) {
+		if !c.suits(j, step, t) {
 			continue
 		}
 		took := time.Duration(float64(nominal) * t.slowness() * distance(st, t))
-		if took <= left && (meets == nil || better(took, t, meetsTime, meets)) {
+		inTime := c.meets(now, j, took)
+		if !t.free().Holds(st.Room) {
+			worthWaiting = worthWaiting || inTime
+			continue
+		}
+		if inTime && (meets == nil || better(took, t, meetsTime, meets)) {
 			meets, meetsTime = t, took
 		}
 		if fastest == nil || took < fastestTime {
 			fastest, fastestTime = t, took
 		}
 	}
-	if meets != nil {
+	if meets != nil || worthWaiting {
 		return meets
 	}
 	return fastest
 }
 
+// The real work of a task may be this many times its estimate; the objective
+// follows the real work, too.
+const (
+	leastWork = 0.5
+	mostWork  = 2.0
+)
+
+// meets reports whether a task that is placed now on a worker where it is
+// expected to take a time would meet the job's objective, be its real work
+// smaller or larger than estimated.
+func (c *Core) meets(now time.Time, j *job, took time.Duration) bool {
+	gone := now.Sub(j.begun) + c.cfg.Margin
+	gain := float64(j.objective.Sub(j.begun)-j.Queue.Target) - float64(took)
+	fixed := float64(j.Queue.Target - gone)
+	return fixed+leastWork*gain >= 0 && fixed+mostWork*gain >= 0
+}
+
 // better prefers the clearly slower worker, then the one with more room.
 func better(took time.Duration, t *target, bestTook time.Duration, best *target) bool {
 	if diff := took - bestTook; diff > bestTook/similarSpeed || -diff > bestTook/similarSpeed {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -315,11 +315,12 @@
 	return time.Duration(float64(est) * math.Exp(c.queueBias(j.Queue.Name).value))
 }
 
-// A run is given up when it takes this many times as long as expected, and
-// then another worker tries.
+// A run that makes progress is given up when it takes this many times as long
+// as expected, and then another worker tries. Estimates are off by up to four
+// times, and slow workers take up to seven times as long.
 const (
-	stallFactor = 4
-	stallLeast  = 400 * time.Millisecond
+	stallFactor = 12
+	stallLeast  = time.Second
 )
 
 // stopStalled stops runs that take far longer than expected.
@@ -358,15 +359,12 @@
 			continue
 		}
 		tk := &j.tasks[r.Task.Step][r.Task.Index]
-		if !tk.stopping && now.Sub(tk.began) > max(tk.expected/8, stallWatch) {
+		if !tk.stopping {
 			c.giveUp(now, t, j, r, "makes no progress")
 		}
 	}
 }
 
-// stallWatch is how old a run must be before its progress is judged.
-const stallWatch = 200 * time.Millisecond
-
 // Uses reports whether something runs at an agent.
 func (c *Core) Uses(agent string) bool {
 	t, ok := c.targets[agent]
--- a/site/site.go
+++ b/site/site.go
@@ -43,7 +43,7 @@
 	lookSlack     = 50 * time.Millisecond  // for the answer to a look that has waited
 	lookers       = 2                      // looks that wait side by side, as one may get no answer
 	workerSilence = 250 * time.Millisecond // without an answered look: no new task
-	idleAge       = 150 * time.Millisecond // from which a run is expected to show progress
+	idleAge       = 250 * time.Millisecond // without progress: a run counts as idle
 	orderTimeout  = 60 * time.Millisecond  // then a start counts as unanswered; answers take 2 ms
 	agentContact  = 450 * time.Millisecond // silence of a home after which an agent stops its runs
 	orderLife     = 400 * time.Millisecond // oldest echo with which an agent takes an order
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -44,7 +44,7 @@
 	OrderLife time.Duration // oldest echo with which an order is taken
 	Forget    time.Duration // how long events of a silent entry are kept
 	Silence   time.Duration // time without an answered look after which the worker gets no task
-	IdleAge   time.Duration // age from which a run is expected to show progress
+	IdleAge   time.Duration // least time without progress after which a run counts as idle
 }
 
 // clockDrift bounds how much slower the worker's clock may run, as a factor.
@@ -70,7 +70,9 @@
 	token   uint64    // with which it was sent last
 	sent    time.Time // first order
 	stopped time.Time // last stop order
-	idle    bool      // a look has shown no progress at an age of Config.IdleAge
+	percent int       // of its work, at the last look
+	moved   time.Time // the look that showed the last progress
+	idle    bool      // looks have shown no progress for too long
 }
 
 // Event tells an entry how a run of its own ended.
@@ -387,7 +389,7 @@
 			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token})
 			continue
 		}
-		have.idle = percent == 0 && now.Sub(have.sent) > g.cfg.IdleAge
+		g.judge(now, have, percent)
 		if have.phase == unclear {
 			have.phase = running
 		}
@@ -405,6 +407,18 @@
 	}
 }
 
+// judge notes whether a run makes progress.
+func (g *Guard) judge(now time.Time, r *run, percent int) {
+	if percent > r.percent || r.moved.IsZero() {
+		r.percent, r.moved = percent, now
+	}
+	r.idle = percent < 100 && now.Sub(r.moved) > max(g.cfg.IdleAge, r.start.Estimate/idlePart)
+}
+
+// idlePart is the part of its estimate that a run may be without progress; one
+// percent more is expected after a hundredth.
+const idlePart = 8
+
 // stopRepeat is after how long a stop that did not end a run is sent again; a
 // worker takes at most 50 ms to stop one.
 const stopRepeat = 100 * time.Millisecond
