Keep the cost of a home in step with load on the grown sites

A pass over the queue is now made for ends and changes only, skips jobs that fit nowhere, and speeds are computed when they change. The strongest entry becomes home. New homes get the pace of workers from agents; new workers count like their kind.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -132,7 +132,8 @@
 			strongest = m
 		}
 	}
-	if home == nil && strongest != nil && strongest.Address == r.self.Address {
+	mine := strongest != nil && strongest.Address == r.self.Address
+	if mine && (home == nil || strongest.Cores >= muchStronger*home.Cores) {
 		r.top++
 		r.self.Term = r.top
 		return r.self, true
@@ -146,6 +147,11 @@
 	return *home, true
 }
 
+// muchStronger is how many times as much processor an entry must have to take
+// over from a home that is well. A change costs little, since the former home
+// goes on with its jobs.
+const muchStronger = 1.5
+
 func outranks(a, b *Member) bool {
 	if a.Term != b.Term {
 		return a.Term > b.Term
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -46,6 +46,17 @@
 	wantHome(t, r, ready, "b")
 }
 
+func TestMuchStrongerEntryTakesOver(t *testing.T) {
+	r := newRoster("a")
+	weak := member("b", 3)
+	weak.Cores = 0.2
+	r.Hear(ready, weak)
+	wantHome(t, r, ready, "a")
+	if got := r.Self(ready).Term; got != 4 {
+		t.Errorf("term %d, want 4", got)
+	}
+}
+
 func TestSilentHomeIsReplacedSoon(t *testing.T) {
 	r := newRoster("a")
 	r.Hear(ready, member("b", 3))
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -21,24 +21,23 @@
 // hopeless returns why a job of which nothing was sent can not be served, and
 // when another one probably could. A new job is also judged by the work that
 // waits before it.
-func (c *Core) hopeless(now time.Time, j *job, isNew bool) (why string, retry time.Duration) {
-	speed, largest := c.power(now, j.Queue.Service)
-	if speed == 0 {
+func (c *Core) hopeless(now time.Time, j *job, p *power, isNew bool) (why string, retry time.Duration) {
+	if p.speed == 0 {
 		return reasonNoWorkers, defaultRetry
 	}
 	if isNew && c.queued > c.cfg.MaxQueued {
 		return reasonTooMany, defaultRetry
 	}
 	for i := range j.Steps {
-		if !largest.Holds(j.Steps[i].Room) {
+		if !p.largest.Holds(j.Steps[i].Room) {
 			return reasonTooLarge, defaultRetry
 		}
 	}
 	delay := time.Duration(0)
 	if isNew && now.After(c.settle) {
-		delay = time.Duration(c.ahead(j) / speed * float64(time.Millisecond))
+		delay = time.Duration(c.ahead(j) / p.speed * float64(time.Millisecond))
 	}
-	need := time.Duration(float64(c.chain(j))*c.fastest(now, j.Queue.Service)) + c.cfg.Margin
+	need := time.Duration(float64(c.chain(j))*p.fastest) + c.cfg.Margin
 	if now.Add(delay + need).After(j.cutoff) {
 		return reasonTooLate, max(delay, need)
 	}
@@ -47,34 +46,30 @@
 
 // chain returns the expected time of the longest chain on a worker of slowness 1.
 func (c *Core) chain(j *job) time.Duration {
-	return time.Duration(float64(j.Chain()) * math.Exp(c.queueBias(j.Queue.Name).value))
+	return time.Duration(float64(j.Chain()) * c.queueBias(j.Queue.Name).factor)
 }
 
-// power returns the work that all workers of a service do, in core-thousandths
-// at slowness 1, and the largest room of any of them.
-func (c *Core) power(now time.Time, service string) (speed float64, largest work.Room) {
+// power is what the workers of a service can do together.
+type power struct {
+	speed   float64   // thousandths of cores, at slowness 1
+	largest work.Room // of any of them
+	fastest float64   // least slowness
+}
+
+func (c *Core) power(now time.Time, service string) *power {
+	p := &power{fastest: math.Inf(1)}
 	for _, name := range c.names {
 		t := c.targets[name]
 		if t.Service != service || !c.usable(now, t) {
 			continue
 		}
-		speed += float64(t.Capacity.CPU) / t.slowness()
-		largest.CPU = max(largest.CPU, t.Capacity.CPU)
-		largest.Memory = max(largest.Memory, t.Capacity.Memory)
-		largest.GPUs = max(largest.GPUs, t.Capacity.GPUs)
-	}
-	return speed, largest
-}
-
-// fastest returns the least slowness of a service's workers.
-func (c *Core) fastest(now time.Time, service string) float64 {
-	least := math.Inf(1)
-	for _, name := range c.names {
-		if t := c.targets[name]; t.Service == service && c.usable(now, t) {
-			least = min(least, t.slowness())
-		}
+		p.speed += float64(t.Capacity.CPU) / t.slowness()
+		p.fastest = min(p.fastest, t.slowness())
+		p.largest.CPU = max(p.largest.CPU, t.Capacity.CPU)
+		p.largest.Memory = max(p.largest.Memory, t.Capacity.Memory)
+		p.largest.GPUs = max(p.largest.GPUs, t.Capacity.GPUs)
 	}
-	return least
+	return p
 }
 
 // ahead returns the work that waits before a job, in core-thousandths times
@@ -94,28 +89,25 @@
 
 // backlog returns the work of a job's pending tasks.
 func (c *Core) backlog(j *job) float64 {
-	sum := 0.0
-	for i := range j.tasks {
-		n := 0
-		for k := range j.tasks[i] {
-			if j.tasks[i][k].state == pending {
-				n++
-			}
-		}
-		sum += float64(n*j.Steps[i].Room.CPU) * ms(c.expect(j, i))
-	}
-	return sum
+	step := &j.Steps[0] // steps of a job are much alike
+	return float64(j.pending*step.Room.CPU) * ms(c.expect(j, 0))
 }
 
 // shed rejects waiting jobs that can no longer end in time. A job of which
 // something was sent is answered as unknown instead when its time is over.
 func (c *Core) shed(now time.Time) {
+	powers := make(map[string]*power)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
 		if j.sent {
 			continue
 		}
-		if why, retry := c.hopeless(now, j, false); why != "" && (why != reasonNoWorkers || now.After(j.objective)) {
+		p, ok := powers[j.Queue.Service]
+		if !ok {
+			p = c.power(now, j.Queue.Service)
+			powers[j.Queue.Service] = p
+		}
+		if why, retry := c.hopeless(now, j, p, false); why != "" && (why != reasonNoWorkers || now.After(j.objective)) {
 			c.reject(now, j, why, retry)
 			i--
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -56,8 +56,9 @@
 	queued  int    // tasks that wait
 	ended   map[string]work.Outcome
 	endings []string         // keys of ended, oldest first
-	bias    map[string]*mean // by queue: run time over estimate on a worker of speed 1
+	bias    map[string]*bias // by queue
 	settle  time.Time        // until then more workers are expected to come into contact
+	priors  time.Time        // when the means of the kinds of workers were computed
 	out     Decisions
 }
 
@@ -65,7 +66,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		ended: make(map[string]work.Outcome), bias: make(map[string]*mean),
+		ended: make(map[string]work.Outcome), bias: make(map[string]*bias),
 	}
 }
 
@@ -112,6 +113,7 @@
 	left      []int     // by step: tasks that are not done
 	pending   int       // tasks to place, of steps whose turn has come
 	running   int
+	leastCPU  int             // of any task, in thousandths of a core
 	sent      bool            // something of it was sent to an agent
 	withdrawn bool            // nobody waits for it
 	over      bool            // it has been answered
@@ -191,7 +193,7 @@
 	}
 	c.jobs[w.ID] = j
 	c.unblock(j)
-	if why, retry := c.hopeless(now, j, true); why != "" && why != reasonNoWorkers {
+	if why, retry := c.hopeless(now, j, c.power(now, w.Queue.Service), true); why != "" && why != reasonNoWorkers {
 		c.reject(now, j, why, retry)
 		return
 	}
@@ -202,7 +204,9 @@
 func newJob(now time.Time, w work.Job, firstRun int) *job {
 	j := &job{Job: w, begun: now.Add(-w.Age), tasks: make([][]task, len(w.Steps)), left: make([]int, len(w.Steps))}
 	j.objective = j.begun.Add(w.Queue.Objective(w.Chain()))
+	j.leastCPU = w.Steps[0].Room.CPU
 	for i := range w.Steps {
+		j.leastCPU = min(j.leastCPU, w.Steps[i].Room.CPU)
 		j.tasks[i] = make([]task, w.Steps[i].Count)
 		j.left[i] = w.Steps[i].Count
 		for k := range j.tasks[i] {
@@ -341,6 +345,10 @@
 // Tick is called every few milliseconds while jobs wait, and at least a few
 // times in Config.Suspect.
 func (c *Core) Tick(now time.Time) {
+	if now.Sub(c.priors) > priorsEvery {
+		c.priors = now
+		c.updatePriors()
+	}
 	c.loseAgents(now)
 	c.stopStalled(now)
 	c.shed(now)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -45,9 +45,15 @@
 	if len(open) == 0 {
 		return
 	}
+	most := mostFree(open)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
-		c.placeJob(now, j, open)
+		if j.leastCPU > most {
+			continue
+		}
+		if c.placeJob(now, j, open) {
+			most = mostFree(open)
+		}
 		if j.pending == 0 {
 			j.waits = false
 			c.waiting = slices.Delete(c.waiting, i, i+1)
@@ -73,7 +79,19 @@
 	return t.ready && !t.Draining && now.Sub(t.heard) <= c.cfg.Suspect
 }
 
-func (c *Core) placeJob(now time.Time, j *job, open []*target) {
+// mostFree returns the largest free processor room of any worker, so that jobs
+// that can not fit anywhere are passed over quickly under load.
+func mostFree(open []*target) int {
+	most := 0
+	for _, t := range open {
+		most = max(most, t.free().CPU)
+	}
+	return most
+}
+
+// placeJob places what it can of a job and reports whether that was anything.
+func (c *Core) placeJob(now time.Time, j *job, open []*target) bool {
+	before := j.pending
 	for i := range j.tasks {
 		if j.Steps[i].Gang {
 			c.placeGang(now, j, i, open)
@@ -90,6 +108,7 @@
 			c.assign(now, t, j, i, k, j.tasks[i][k].run+1)
 		}
 	}
+	return j.pending < before
 }
 
 // placeGang places all tasks of a step under one run number, or none.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -148,9 +148,9 @@
 
 func TestLongTasksGetTheFastWorkerAndShortOnesTheSlow(t *testing.T) {
 	d := newDesk(t)
-	d.agent("slow", 4)
+	d.agent("slow", 4, "a")
 	d.teach("slow", 2)
-	d.agent("fast", 4)
+	d.agent("fast", 4, "b")
 	d.starts = make(map[string][]work.Run)
 	d.submit(job("short", 0, 1, 60*time.Millisecond)) // 120 ms on the slow one, in time for 156 ms
 	d.wantStarts("slow", 1)
@@ -283,9 +283,9 @@
 // TestLongTaskWaitsForAFastWorker: a slow one with room could not be in time.
 func TestLongTaskWaitsForAFastWorker(t *testing.T) {
 	d := newDesk(t)
-	d.agent("slow", 4)
+	d.agent("slow", 4, "a")
 	d.teach("slow", 2.2)
-	d.agent("fast", 1)
+	d.agent("fast", 1, "b")
 	d.starts = make(map[string][]work.Run)
 	d.submit(job("first", 0, 1, 900*time.Millisecond))
 	d.submit(job("second", 0, 1, 900*time.Millisecond))
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -19,6 +19,8 @@
 	others work.Room // by runs of other entries, as told
 	runs   map[work.TaskRef]work.Run
 	seq    uint64    // last event that was taken
+	factor float64   // slowness, computed from slow and prior
+	prior  float64   // mean of slow over the workers of its kind
 	slow   mean      // log of run time over expected time on a worker of speed 1
 	streak int       // failures in a row
 	resume time.Time // no placement before
@@ -38,15 +40,45 @@
 const (
 	speedWindow = 40 // runs; the estimates of single runs are off by 40%
 	biasWindow  = 300
-	priorRuns   = 4 // runs by which a new worker's speed counts as 1
+	priorRuns   = 4 // runs as which the mean of a worker's kind counts
 )
 
-// slowness returns how much longer than on a worker of speed 1 a run takes.
-func (t *target) slowness() float64 {
+// slowness returns how much longer than on a worker of speed 1 a run takes. A
+// worker of which little is known counts like the others of its kind.
+func (t *target) slowness() float64 { return t.factor }
+
+// judge computes the slowness from what is known.
+func (t *target) judge() {
 	weight := float64(t.slow.n) / float64(t.slow.n+priorRuns)
-	return math.Exp(t.slow.value * weight)
+	t.factor = math.Exp(t.slow.value*weight + t.prior*(1-weight))
+}
+
+// kind returns the label that tells the kind of a worker.
+func (t *target) kind() string {
+	if len(t.Labels) == 0 {
+		return ""
+	}
+	return t.Service + "/" + t.Labels[0]
+}
+
+// updatePriors gives every worker the mean of its kind.
+func (c *Core) updatePriors() {
+	sum, n := make(map[string]float64), make(map[string]float64)
+	for _, name := range c.names {
+		t := c.targets[name]
+		weight := float64(min(t.slow.n, priorRuns))
+		sum[t.kind()] += weight * t.slow.value
+		n[t.kind()] += weight
+	}
+	for _, t := range c.targets {
+		t.prior = sum[t.kind()] / max(n[t.kind()], 1)
+		t.judge()
+	}
 }
 
+// priorsEvery is the pause between updates of the means of kinds.
+const priorsEvery = 100 * time.Millisecond
+
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.others) }
 
 // Report is what an agent tells about itself and its worker.
@@ -56,10 +88,17 @@
 	Ready   bool      // it takes starts
 	Settled bool      // nothing runs there that this incarnation did not start
 	Others  work.Room // that runs of other entries take
+	Pace    Pace      // as the agent has seen it; told at the first contact
 	Events  []Event
 	Idle    []work.Run // runs that are not young and have made no progress
 }
 
+// Pace is how long a worker's runs take against their estimates.
+type Pace struct {
+	Runs int
+	Log  float64 // mean of the logarithm of run time over estimate
+}
+
 // Event tells how a run ended.
 type Event struct {
 	Seq    uint64
@@ -77,7 +116,7 @@
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
-		t = &target{agent: agent, life: r.Life, runs: make(map[work.TaskRef]work.Run)}
+		t = &target{agent: agent, life: r.Life, factor: 1, runs: make(map[work.TaskRef]work.Run)}
 		c.settle = now.Add(settleTime)
 		c.targets[agent] = t
 		c.names = append(c.names, agent)
@@ -92,8 +131,10 @@
 		t.life, t.seq = r.Life, 0
 	}
 	if t.Born != r.Target.Born {
-		t.slow, t.streak = mean{}, 0
+		t.slow, t.streak = mean{n: min(r.Pace.Runs, speedWindow), value: r.Pace.Log}, 0
+		t.judge()
 	}
+	more := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.others || now.Sub(t.heard) > c.cfg.Suspect
 	t.Target, t.ready, t.others, t.heard = r.Target, r.Ready, r.Others, now
 	for _, e := range r.Events {
 		if e.Seq > t.seq {
@@ -102,7 +143,9 @@
 		}
 	}
 	c.observe(now, t, r.Idle)
-	c.place(now)
+	if more || len(r.Events) > 0 {
+		c.place(now)
+	}
 }
 
 // Acked returns the number of the last event of an agent that was taken, and
@@ -297,13 +340,21 @@
 	ratio := math.Log(float64(took) / float64(est))
 	b := c.queueBias(j.Queue.Name)
 	t.slow.add(ratio-b.value, speedWindow)
+	t.judge()
 	b.add(ratio-t.slow.value, biasWindow)
+	b.factor = math.Exp(b.value)
+}
+
+// bias is how far off the estimates of a queue are.
+type bias struct {
+	mean
+	factor float64 // run time over estimate on a worker of slowness 1
 }
 
-func (c *Core) queueBias(queue string) *mean {
+func (c *Core) queueBias(queue string) *bias {
 	b, ok := c.bias[queue]
 	if !ok {
-		b = &mean{}
+		b = &bias{factor: 1}
 		c.bias[queue] = b
 	}
 	return b
@@ -312,7 +363,7 @@
 // expect returns the run time of a task of a step on a worker of slowness 1.
 func (c *Core) expect(j *job, step int) time.Duration {
 	est := max(j.Steps[step].Estimate, time.Millisecond)
-	return time.Duration(float64(est) * math.Exp(c.queueBias(j.Queue.Name).value))
+	return time.Duration(float64(est) * c.queueBias(j.Queue.Name).factor)
 }
 
 // A run that makes progress is given up when it takes this many times as long
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -38,7 +38,7 @@
 	reply.Taken = a.taken[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
 	if reply.Target = a.version; args.Target == a.version && args.Life == a.life {
-		reply.Report.Target = work.Target{}
+		reply.Report.Target, reply.Report.Pace = work.Target{}, schedule.Pace{}
 	}
 	return nil
 }
@@ -67,6 +67,7 @@
 		Life: a.life, Target: t, Ready: serves && !a.leaving && !a.guard.Silent(),
 		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home),
 	}
+	r.Pace = schedule.Pace(a.guard.Pace())
 	for _, e := range a.guard.Events(home, acked) {
 		r.Events = append(r.Events, event(e))
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -31,6 +31,7 @@
 package worker
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -113,6 +114,7 @@
 	clock    time.Duration
 	clockAt  time.Time     // when clock was read, at the latest
 	until    time.Duration // longest lease that was asked for
+	pace     Pace
 	runs     map[work.TaskRef]*run
 	sessions map[string]*session
 	orders   []Order
@@ -173,6 +175,7 @@
 	}
 	g.target.Born = born
 	g.token, g.acked, g.seen, g.clock, g.until = 0, 0, 0, 0, 0
+	g.pace = Pace{}
 	g.settled = true
 }
 
@@ -442,9 +445,32 @@
 // finish removes a run and tells its entry.
 func (g *Guard) finish(now time.Time, ref work.TaskRef, r *run, how work.End, why string) {
 	delete(g.runs, ref)
+	if how == work.Done {
+		g.pace.add(now.Sub(r.sent), r.start.Estimate)
+	}
 	g.tell(r.entry, Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent)})
 }
 
+// Pace is how long the worker's runs take against their estimates.
+type Pace struct {
+	Runs int     // at most paceWindow
+	Log  float64 // mean of the logarithm of run time over estimate
+}
+
+// paceWindow is the number of runs that the mean looks back on.
+const paceWindow = 40
+
+func (p *Pace) add(took, estimate time.Duration) {
+	if took <= 0 || estimate <= 0 {
+		return
+	}
+	p.Runs = min(p.Runs+1, paceWindow)
+	p.Log += (math.Log(float64(took)/float64(estimate)) - p.Log) / float64(p.Runs)
+}
+
+// Pace returns how long the worker's runs took in its present life.
+func (g *Guard) Pace() Pace { return g.pace }
+
 func (g *Guard) tell(entry string, e Event) {
 	s := g.session(entry)
 	s.seq++
