Run whole fleets of the users' platform through faults in virtual time

Stand-ins of the platform's store and of a worker speak its protocol; entries and agents take a network. 14 faults, judged by the workers' journals: no two runs of a task at once, no rejected job that ran, none failed without cause.

Found by it: a home that withdrew a job left the call of the entry waiting for good, a goroutine for each job (the bubble did not end). It is answered now.

Also counters and histograms at the metrics address, logs that never block and are bounded.

--- a/command/site.go
+++ b/command/site.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"github.com/urfave/cli/v3"
 
 	"masticbay/platform"
@@ -30,13 +32,27 @@
 	}
 }
 
+// logRing is how many lines wait for standard output; when it is full, lines
+// are dropped and counted, so that nothing waits for a reader.
+const logRing = 4096
+
+// siteLog returns a log to standard output that never blocks, and a function
+// that writes what is left.
+func siteLog(role string) (log zerolog.Logger, flush func()) {
+	w := diode.NewWriter(os.Stdout, logRing, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", missed)
+	})
+	return telemetry.NewLog(w, "info", role), func() { _ = w.Close() }
+}
+
 func runSiteEntry() error {
 	node, err := platform.ReadNode()
 	if err != nil {
 		return err
 	}
 	web.AllowSlowStop(node.Grace)
-	log := telemetry.NewLog(os.Stdout, "info", "entry")
+	log, flush := siteLog("entry")
+	defer flush()
 	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log})
 	if err != nil {
 		return err
@@ -74,7 +90,8 @@
 		return err
 	}
 	web.AllowSlowStop(node.Grace)
-	log := telemetry.NewLog(os.Stdout, "info", "agent")
+	log, flush := siteLog("agent")
+	defer flush()
 	a, err := site.StartAgent(site.AgentOptions{Node: node, Log: log})
 	if err != nil {
 		return err
--- /dev/null
+++ b/failure/fleet_faults_test.go
@@ -0,0 +1,142 @@
+package failure
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"masticbay/platform/standin"
+)
+
+// wantServed checks how many of the answered jobs completed.
+func (s *fleet) wantServed(least float64) {
+	s.t.Helper()
+	answered, completed, rejected := s.counts()
+	s.t.Logf("%d answered, %d completed, %d rejected, %d requests without an answer", answered, completed, rejected, s.lost)
+	if float64(completed) < least*float64(answered+s.lost) || answered == 0 {
+		s.t.Errorf("%d of %d jobs completed, want %.0f%%", completed, answered+s.lost, 100*least)
+	}
+}
+
+func TestFleetServesACalmDay(t *testing.T) {
+	onFleet(t, func(_ *testing.T, s *fleet) {
+		s.load(4*time.Second, 0, 1, 2)
+		s.wantServed(1)
+	})
+}
+
+// TestFleetUnderFaults loads all entries while one thing fails for a while. What
+// onFleet judges must hold in every case; most jobs complete.
+func TestFleetUnderFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		least float64 // part of the requests that completes
+		fault func(s *fleet)
+	}{
+		{"home killed", 0.85, func(s *fleet) {
+			h := s.home()
+			s.entry(h).Kill()
+			time.Sleep(time.Second)
+			s.startEntry(h)
+		}},
+		{"home paused", 0.6, func(s *fleet) { s.pauseFor(fmt.Sprint("e", s.home()), 2*time.Second) }},
+		{"home cut off from the other entries", 0.85, func(s *fleet) {
+			h := s.home()
+			for i := range fleetEntries {
+				s.cutFor(fmt.Sprint("e", h), fmt.Sprint("e", i), 2*time.Second)
+			}
+			time.Sleep(2 * time.Second)
+		}},
+		{"answers of the home cut off", 0.85, func(s *fleet) {
+			h := s.home()
+			for i := range fleetEntries {
+				s.n.cut(fmt.Sprint("e", h), fmt.Sprint("e", i), true)
+			}
+			time.Sleep(2 * time.Second)
+			for i := range fleetEntries {
+				s.n.cut(fmt.Sprint("e", h), fmt.Sprint("e", i), false)
+			}
+		}},
+		{"agent killed", 0.85, func(s *fleet) {
+			s.agent(1).Kill()
+			time.Sleep(500 * time.Millisecond)
+			s.startAgent(1)
+		}},
+		{"agent cut off from the home", 0.85, func(s *fleet) {
+			s.cutFor(fmt.Sprint("e", s.home()), "a1", 3*time.Second)
+			time.Sleep(3 * time.Second)
+		}},
+		{"agent cut off from its worker", 0.85, func(s *fleet) {
+			s.cutFor("a1", "w1", 3*time.Second)
+			time.Sleep(3 * time.Second)
+		}},
+		{"worker crashes", 0.85, func(s *fleet) { s.workers[1].Crash() }},
+		{"worker stalls", 0.85, func(s *fleet) {
+			s.workers[1].Set(standin.WorkerFaults{Stalled: true})
+			time.Sleep(3 * time.Second)
+			s.workers[1].Set(standin.WorkerFaults{})
+		}},
+		{"orders late", 0.85, func(s *fleet) { s.loseOrders(3 * time.Second) }},
+		{"orders never carried out", 0.85, func(s *fleet) { s.loseOrders(0) }},
+		{"store down", 1, func(s *fleet) {
+			s.store.Set(standin.StoreFaults{Down: true})
+			time.Sleep(3 * time.Second)
+			s.store.Set(standin.StoreFaults{})
+		}},
+		{"entry leaves", 1, func(s *fleet) {
+			h := s.home()
+			time.AfterFunc(2*time.Second, func() { s.setRotation(h, false) })
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			if err := s.entry(h).Stop(ctx); err != nil {
+				s.t.Error(err)
+			}
+			s.startEntry(h)
+			s.setRotation(h, true)
+		}},
+		{"worker drains", 1, func(s *fleet) { s.workers[1].Drain() }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			onFleet(t, func(_ *testing.T, s *fleet) {
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					time.Sleep(time.Second)
+					tc.fault(s)
+				}()
+				s.load(6*time.Second, 0, 1, 2)
+				<-done
+				s.wantServed(tc.least)
+			})
+		})
+	}
+}
+
+func (s *fleet) pauseFor(host string, span time.Duration) {
+	s.n.pause(host, true)
+	time.Sleep(span)
+	s.n.pause(host, false)
+}
+
+// cutFor cuts both directions between two hosts and heals them later.
+func (s *fleet) cutFor(a, b string, span time.Duration) {
+	s.n.cut(a, b, true)
+	s.n.cut(b, a, true)
+	time.AfterFunc(span, func() {
+		s.n.cut(a, b, false)
+		s.n.cut(b, a, false)
+	})
+}
+
+// loseOrders lets every twelfth order to a worker get no answer, for a while.
+func (s *fleet) loseOrders(late time.Duration) {
+	for _, w := range s.workers {
+		w.Set(standin.WorkerFaults{Mute: func(n int) bool { return n%12 == 0 }, Late: late})
+	}
+	time.Sleep(3 * time.Second)
+	for _, w := range s.workers {
+		w.Set(standin.WorkerFaults{})
+	}
+}
--- /dev/null
+++ b/failure/fleet_test.go
@@ -0,0 +1,277 @@
+package failure
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"masticbay/clock"
+	"masticbay/platform"
+	"masticbay/platform/standin"
+	daemon "masticbay/site"
+	"masticbay/store"
+	"masticbay/work"
+)
+
+// The size of a fleet on the users' platform, in one bubble.
+const (
+	fleetEntries = 3
+	fleetAgents  = 4
+	fleetTasks   = 8 // that one worker runs at once
+	taskCPU      = 1000
+)
+
+// pingQueue and longQueue are the fleet's queues.
+var (
+	pingQueue = work.Queue{Name: "ping", Service: service, Priority: 0, MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
+	longQueue = work.Queue{Name: "long", Service: service, Priority: 2, MaxAttempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond}
+)
+
+// fleet is an installation on the users' platform: whole duties of entries and
+// agents, stand-ins of the store and of workers, on a network in memory.
+type fleet struct {
+	t       *testing.T
+	n       *network
+	store   *standin.Store
+	workers [fleetAgents]*standin.Worker
+	stop    context.CancelFunc
+	ctx     context.Context
+	duties  sync.WaitGroup
+
+	mu      sync.Mutex // guards what follows
+	entries [fleetEntries]*daemon.Entry
+	agents  [fleetAgents]*daemon.Agent
+	replies map[string]standin.Reply
+	left    [fleetEntries]bool // entries out of the balancer's rotation
+	lost    int                // requests without an answer
+}
+
+// onFleet runs f in a bubble on a fleet that has found itself, and judges it.
+func onFleet(t *testing.T, f func(t *testing.T, s *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFleet(t)
+		time.Sleep(2 * time.Second)
+		f(t, s)
+		s.judge()
+		s.close()
+	})
+}
+
+func newFleet(t *testing.T) *fleet {
+	s := &fleet{t: t, n: newNetwork(), store: standin.NewStore(store.NewMemory(clock.System{})), replies: make(map[string]standin.Reply)}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	if err := s.store.PutConfig(1, pingQueue, longQueue); err != nil {
+		t.Fatal(err)
+	}
+	s.serve("store", s.store.Handler())
+	for i := range s.workers {
+		s.workers[i] = standin.NewWorker(standin.WorkerConfig{
+			ID: fmt.Sprint("worker", i), Service: service, Labels: []string{"a"}, CPU: fleetTasks * taskCPU, Memory: 1024, Work: workTime,
+		})
+		s.serve(fmt.Sprint("w", i), s.workers[i].Handler())
+		s.startAgent(i)
+		client := &http.Client{Transport: &http.Transport{DialContext: s.dial(fmt.Sprint("w", i))}}
+		s.duties.Go(func() {
+			s.workers[i].Announce(s.ctx, client, fmt.Sprint("c", i), time.Second)
+			client.CloseIdleConnections()
+		})
+	}
+	for i := range s.entries {
+		s.startEntry(i)
+	}
+	return s
+}
+
+// workTime is how long the tasks of a job take: its first digit in tenths of a
+// second.
+func workTime(task string, _ int) (time.Duration, bool) {
+	return time.Duration(task[0]-'0') * 100 * time.Millisecond, false
+}
+
+func (s *fleet) serve(address string, h http.Handler) {
+	ln, err := host{s.n, address}.Listen(address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	s.duties.Go(func() { _ = srv.Serve(ln) })
+	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
+}
+
+func (s *fleet) dial(from string) platform.Dial {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return webHost{host{s.n, from}}.Dial(ctx, address)
+	}
+}
+
+// webHost is a host that also connects to addresses to which an HTTP client has
+// added its default port.
+type webHost struct{ host }
+
+// Dial implements wire.Network.
+func (h webHost) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return h.host.Dial(ctx, strings.TrimSuffix(address, ":80"))
+}
+
+func (s *fleet) node(name string) platform.Node {
+	return platform.Node{
+		Name: name, IP: name, Service: service, Internal: name, Metrics: name + "/metrics", Store: "store", Cores: 0.4,
+		Entries: []string{"e0", "e1"}, Grace: 6 * time.Second,
+	}
+}
+
+func (s *fleet) startEntry(i int) {
+	n := s.node(fmt.Sprint("e", i))
+	n.Front, n.Ready = fmt.Sprint("f", i), fmt.Sprint("r", i)
+	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: zerolog.Nop(), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[i] = e
+}
+
+func (s *fleet) startAgent(i int) {
+	n := s.node(fmt.Sprint("a", i))
+	n.Control, n.Worker = fmt.Sprint("c", i), fmt.Sprint("w", i)
+	a, err := daemon.StartAgent(daemon.AgentOptions{Node: &n, Log: zerolog.Nop(), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agents[i] = a
+}
+
+func (s *fleet) entry(i int) *daemon.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i]
+}
+
+func (s *fleet) agent(i int) *daemon.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agents[i]
+}
+
+// home returns the number of the entry that acts as home.
+func (s *fleet) home() int {
+	for i := range fleetEntries {
+		if s.entry(i).IsHome() {
+			return i
+		}
+	}
+	s.t.Fatal("no entry acts as home")
+	return 0
+}
+
+// load submits jobs at some entries for a while and waits for the answers. A
+// test calls it once.
+func (s *fleet) load(span time.Duration, entries ...int) {
+	var callers sync.WaitGroup
+	for k := 0; k < int(span/(25*time.Millisecond)); k++ {
+		q, tasks := pingQueue, 4
+		id := fmt.Sprintf("1%015x", k)
+		if k%8 == 0 {
+			q, tasks, id = longQueue, 2, fmt.Sprintf("9%015x", k)
+		}
+		callers.Go(func() { s.submit(entries[k%len(entries)], q, id, tasks) })
+		time.Sleep(25 * time.Millisecond)
+	}
+	callers.Wait()
+}
+
+// submit submits a job, and again where a connection broke, as callers do.
+func (s *fleet) submit(entry int, q work.Queue, id string, tasks int) {
+	c := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial("caller"), DisableKeepAlives: true}}, Waits: 6 * time.Second}
+	step := work.Step{Count: tasks, Room: work.Room{CPU: taskCPU}, Estimate: time.Duration(id[0]-'0') * 100 * time.Millisecond}
+	for try := range 2 {
+		rep, err := c.Submit(s.ctx, s.rotation(entry+try), q.Name, id, step)
+		s.mu.Lock()
+		if err == nil && rep.Status != http.StatusGatewayTimeout {
+			s.replies[id] = rep
+			s.mu.Unlock()
+			return
+		}
+		s.lost++
+		s.mu.Unlock()
+		time.Sleep(1300 * time.Millisecond)
+	}
+}
+
+// rotation returns the front address of an entry that the balancer uses.
+func (s *fleet) rotation(entry int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.left[entry%fleetEntries] {
+		entry++
+	}
+	return fmt.Sprint("f", entry%fleetEntries)
+}
+
+// setRotation takes an entry out of the balancer's rotation, or back.
+func (s *fleet) setRotation(entry int, in bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left[entry] = !in
+}
+
+// counts returns how many jobs were answered, completed and rejected.
+func (s *fleet) counts() (answered, completed, rejected int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replies {
+		switch {
+		case r.State == work.Completed:
+			completed++
+		case r.Status == http.StatusServiceUnavailable:
+			rejected++
+		}
+	}
+	return len(s.replies), completed, rejected
+}
+
+// judge checks what must hold whatever failed.
+func (s *fleet) judge() {
+	s.t.Helper()
+	for _, wrong := range standin.Overlaps(s.workers[:]...) {
+		s.t.Error(wrong)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.replies {
+		if r.Status == http.StatusServiceUnavailable && standin.Ran(id, s.workers[:]...) {
+			s.t.Errorf("job %s was rejected and ran", id)
+		}
+		if r.Status == http.StatusServiceUnavailable && r.RetryAfter <= 0 {
+			s.t.Errorf("job %s was rejected without a time to come back", id)
+		}
+		if r.State == work.JobFailed {
+			s.t.Errorf("job %s failed although no task does", id)
+		}
+	}
+}
+
+func (s *fleet) close() {
+	s.mu.Lock()
+	for _, e := range s.entries {
+		e.Kill()
+	}
+	for _, a := range s.agents {
+		a.Kill()
+	}
+	s.mu.Unlock()
+	s.stop()
+	s.duties.Wait()
+	time.Sleep(settle) // calls that wait end by their own limits
+}
--- a/site/agent.go
+++ b/site/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +22,8 @@
 	Node  *platform.Node
 	Log   zerolog.Logger
 	Clock clock.Clock // clock.Boot if nil
+	// Network is where the process is reached and reaches others; TCP if nil.
+	Network wire.Network
 }
 
 // Agent is the daemon beside a worker. StartAgent makes one.
@@ -35,6 +36,9 @@
 	store   *platform.Store
 	rpc     *wire.Server
 	http    *http.Server
+	meter   *http.Server
+	metrics *agentMetrics
+	network wire.Network
 	stop    chan struct{}
 	entries entryList
 
@@ -54,9 +58,10 @@
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
+	dial := dialOf(o.Network)
 	a = &Agent{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("agent"),
-		worker: platform.NewWorker(o.Node.Worker), store: platform.NewStore(o.Node.Store),
+		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(guardConfig()), news: make(chan struct{}), taken: make(map[string]uint64),
 	}
@@ -64,17 +69,15 @@
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
 		return nil, err
 	}
-	internal, err := net.Listen("tcp", o.Node.Internal)
-	if err != nil {
-		return nil, err
-	}
-	control, err := net.Listen("tcp", o.Node.Control)
+	lns, err := listenAll(a.network, o.Node.Internal, o.Node.Control, o.Node.Metrics)
 	if err != nil {
 		return nil, err
 	}
 	a.http = &http.Server{Handler: platform.HandleReports(a.report, a.badReport), ReadHeaderTimeout: time.Second}
-	go a.rpc.Serve(internal)
-	go func() { _ = a.http.Serve(control) }()
+	a.meter = serveMetrics(a.metrics.all)
+	go a.rpc.Serve(lns[0])
+	go func() { _ = a.http.Serve(lns[1]) }()
+	go func() { _ = a.meter.Serve(lns[2]) }()
 	for range lookers {
 		go a.lookDuty()
 	}
@@ -106,10 +109,20 @@
 	}
 	// The homes have to learn of the last ends.
 	time.Sleep(stopPoll)
+	a.log.Info().Int("runs", a.runs()).Msg("agent stopped")
+	a.Kill()
+	return nil
+}
+
+// Kill ends the agent at once, as the death of its process would.
+func (a *Agent) Kill() {
 	close(a.stop)
 	a.rpc.Close()
-	a.log.Info().Int("runs", a.runs()).Msg("agent stopped")
-	return a.http.Close()
+	_ = a.http.Close()
+	_ = a.meter.Close()
+	a.metrics.all.Close()
+	a.worker.Close()
+	a.store.Close()
 }
 
 // stopPoll is how often a stop looks whether runs have ended.
@@ -175,18 +188,24 @@
 func (a *Agent) startRun(o worker.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
+	sent := a.now()
 	ans, err := a.worker.Start(ctx, o.Start, o.Until, o.Token)
+	a.metrics.start.RecordDuration(a.now().Sub(sent))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
+		a.metrics.unanswered.Inc(1)
 		a.log.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
 		a.guard.Unanswered(o.Start.Run)
 		go a.look(0) // with the higher token
 		return
 	}
 	reason := ""
-	if !ans.Taken {
+	if ans.Taken {
+		a.metrics.started.Inc(1)
+	} else {
 		reason = ans.Reason
+		a.metrics.refused.Inc(1)
 		a.log.Info().Str("run", o.Start.Run.String()).Str("reason", reason).Uint64("token", o.Token).Msg("start refused by the worker")
 	}
 	a.guard.Started(a.now(), o.Start.Run, reason, reason == platform.ReasonFence)
@@ -240,6 +259,7 @@
 	now := a.now()
 	switch {
 	case err != nil:
+		a.metrics.failed.Inc(1)
 		a.guard.LookFailed(now)
 		if a.guard.Silent() {
 			a.noteSilence(true, err)
@@ -296,6 +316,7 @@
 		stopped := a.guard.Tick(a.now())
 		a.perform()
 		a.mu.Unlock()
+		a.metrics.orphaned.Inc(int64(len(stopped)))
 		for _, r := range stopped {
 			a.log.Warn().Str("run", r.String()).Msg("run stopped: its home is out of contact")
 		}
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -68,7 +68,7 @@
 
 // announceTo tells one entry again and again.
 func (a *Agent) announceTo(address string) {
-	c := wire.NewClient(address, rpcOptions)
+	c := wire.NewClient(address, rpcOptions(a.network))
 	defer c.Close()
 	begun := a.now()
 	for {
@@ -104,7 +104,12 @@
 // rpcOptions bound the connections between the processes of a site. A dial
 // that takes longer than the round trip between data centres by far has hit a
 // cut.
-var rpcOptions = wire.Options{DialTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond}
+func rpcOptions(n wire.Network) wire.Options {
+	return wire.Options{DialTimeout: rpcLimit, WriteTimeout: rpcLimit, Network: n}
+}
+
+// rpcLimit is far above the time between data centres.
+const rpcLimit = 300 * time.Millisecond
 
 // findEntries reads the addresses of entries from the store.
 func (a *Agent) findEntries() {
--- a/site/entry.go
+++ b/site/entry.go
@@ -23,24 +23,30 @@
 	Node  *platform.Node
 	Log   zerolog.Logger
 	Clock clock.Clock // clock.Boot if nil
+	// Network is where the process is reached and reaches others; TCP if nil.
+	Network wire.Network
 }
 
 // Entry is the daemon that serves callers. StartEntry makes one.
 type Entry struct {
-	node    *platform.Node
-	log     zerolog.Logger
-	clock   clock.Clock
-	life    string
-	store   *platform.Store
-	rpc     *wire.Server
-	front   *http.Server
-	ready   *http.Server
-	stop    chan struct{}
-	home    *home
-	known   entryList
-	config  atomic.Pointer[platform.Config]
-	leaving atomic.Bool
-	open    atomic.Int64 // requests of callers that are not answered
+	node     *platform.Node
+	log      zerolog.Logger
+	requests zerolog.Logger // lines of single requests; bounded
+	clock    clock.Clock
+	life     string
+	store    *platform.Store
+	rpc      *wire.Server
+	front    *http.Server
+	ready    *http.Server
+	meter    *http.Server
+	metrics  *entryMetrics
+	network  wire.Network
+	stop     chan struct{}
+	home     *home
+	known    entryList
+	config   atomic.Pointer[platform.Config]
+	leaving  atomic.Bool
+	open     atomic.Int64 // requests of callers that are not answered
 
 	mu       sync.Mutex // guards what follows
 	roster   *roster.Roster
@@ -59,10 +65,11 @@
 		o.Clock = clock.Boot{}
 	}
 	e = &Entry{
-		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store),
+		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store, dialOf(o.Network)), network: wire.OrTCP(o.Network), metrics: newEntryMetrics(),
 		stop: make(chan struct{}), peers: make(map[string]*wire.Client), agents: make(map[string]time.Time), pull: make(map[string]bool),
 		sessions: make(map[string]uint64), jobs: make(map[string]int),
 	}
+	e.requests = e.log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
 	e.home = newHome(e)
@@ -83,15 +90,7 @@
 }
 
 func (e *Entry) listen() error {
-	internal, err := net.Listen("tcp", e.node.Internal)
-	if err != nil {
-		return err
-	}
-	front, err := net.Listen("tcp", e.node.Front)
-	if err != nil {
-		return err
-	}
-	ready, err := net.Listen("tcp", e.node.Ready)
+	lns, err := listenAll(e.network, e.node.Internal, e.node.Front, e.node.Ready, e.node.Metrics)
 	if err != nil {
 		return err
 	}
@@ -99,12 +98,41 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, e.serveReady)
 	e.ready = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go e.rpc.Serve(internal)
-	go func() { _ = e.front.Serve(front) }()
-	go func() { _ = e.ready.Serve(ready) }()
+	e.meter = serveMetrics(e.metrics.all)
+	go e.rpc.Serve(lns[0])
+	go func() { _ = e.front.Serve(lns[1]) }()
+	go func() { _ = e.ready.Serve(lns[2]) }()
+	go func() { _ = e.meter.Serve(lns[3]) }()
 	return nil
 }
 
+// listenAll listens at all addresses or at none.
+func listenAll(n wire.Network, addresses ...string) (lns []net.Listener, err error) {
+	for _, address := range addresses {
+		ln, err := n.Listen(address)
+		if err != nil {
+			for _, ln := range lns {
+				_ = ln.Close()
+			}
+			return nil, err
+		}
+		lns = append(lns, ln)
+	}
+	return lns, nil
+}
+
+// dialOf returns how the clients of outside systems connect.
+func dialOf(n wire.Network) platform.Dial {
+	if n == nil {
+		return nil
+	}
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) }
+}
+
+// requestLines bounds the lines about single requests, a second and kind: twice
+// what the largest site sends an entry in a burst.
+const requestLines = 400
+
 const (
 	frontHeaderTimeout = 3 * time.Second // for the header of a request once its first byte came
 	frontIdle          = 60 * time.Second
@@ -134,11 +162,26 @@
 		sleep(ctx, stopPoll)
 	}
 	e.log.Info().Int64("open", e.open.Load()).Msg("entry stopped")
-	close(e.stop)
 	err := e.front.Shutdown(ctx)
+	e.Kill()
+	return err
+}
+
+// Kill ends the entry at once, as the death of its process would.
+func (e *Entry) Kill() {
+	close(e.stop)
+	_ = e.front.Close()
 	_ = e.ready.Close()
+	_ = e.meter.Close()
 	e.rpc.Close()
-	return err
+	e.metrics.all.Close()
+	e.store.Close()
+	e.home.close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.peers {
+		c.Close()
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -127,7 +127,7 @@
 	defer e.mu.Unlock()
 	c, ok := e.peers[address]
 	if !ok {
-		c = wire.NewClient(address, rpcOptions)
+		c = wire.NewClient(address, rpcOptions(e.network))
 		e.peers[address] = c
 	}
 	return c
@@ -157,6 +157,7 @@
 	e.lastHome = home.Life
 	e.mu.Unlock()
 	if changed {
+		e.metrics.changes.Inc(1)
 		e.log.Info().Str("home", home.Name).Str("life", home.Life).Str("before", before).Uint64("term", home.Term).Bool("any", ok).Msg("home changed")
 		e.home.wake()
 		if home.Life == e.life {
@@ -252,3 +253,9 @@
 	}
 	e.log.Info().Uint64("version", c.Version()).Str("from", from).Msg("configuration in force")
 }
+
+// IsHome reports whether this entry acts as home.
+func (e *Entry) IsHome() bool {
+	m, ok := e.currentHome()
+	return ok && m.Life == e.life
+}
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -41,6 +41,7 @@
 			continue
 		}
 		sent = true
+		e.metrics.lostHome.Inc(1)
 		e.log.Warn().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
 		e.loseHome(home)
 		firstRun += runStride
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -94,7 +94,8 @@
 	defer cancel()
 	out := e.run(ctx, s.Job, begun)
 	took := e.now().Sub(begun)
-	e.log.Info().Str("job", id).Str("queue", q.Name).Uint64("config", cfg.Version()).Str("state", string(out.State)).
+	e.metrics.answered(out.State, took)
+	e.requests.Info().Str("job", id).Str("queue", q.Name).Uint64("config", cfg.Version()).Str("state", string(out.State)).
 		Str("why", out.Reason).Dur("tookMs", took).Int("tasks", s.Job.Tasks()).Dur("leftMs", s.Job.Left-took).Msg("answered")
 	if r.Context().Err() != nil {
 		return // the caller has gone
--- a/site/home.go
+++ b/site/home.go
@@ -20,6 +20,7 @@
 	due chan struct{}
 
 	mu      sync.Mutex // guards what follows
+	closed  bool
 	core    *schedule.Core
 	waiters map[string][]*waiter // by job
 	links   map[string]*link     // by agent
@@ -46,7 +47,7 @@
 
 func newHome(e *Entry) *home {
 	return &home{
-		e: e, log: e.log, due: make(chan struct{}, 1), core: schedule.NewCore(coreConfig()),
+		e: e, log: e.requests, due: make(chan struct{}, 1), core: schedule.NewCore(coreConfig()),
 		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]contact),
 	}
 }
@@ -136,7 +137,14 @@
 
 // drop is leave with mu held and without flush.
 func (h *home) drop(id string, which func(*waiter) bool) {
-	rest := slices.DeleteFunc(h.waiters[id], which)
+	var rest []*waiter
+	for _, w := range h.waiters[id] {
+		if which(w) {
+			w.done <- work.Outcome{State: work.Unknown, Reason: "withdrawn"}
+		} else {
+			rest = append(rest, w)
+		}
+	}
 	if len(rest) > 0 {
 		h.waiters[id] = rest
 		return
@@ -176,11 +184,16 @@
 	agents := h.e.knownAgents()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		return false
+	}
 	now := h.e.now()
 	h.dropSilent(now)
 	h.core.Tick(now)
 	h.flush()
 	waiting, running := h.core.Load()
+	h.e.metrics.waiting.Update(float64(waiting))
+	h.e.metrics.running.Update(float64(running))
 	if acts || running > 0 {
 		for _, a := range agents {
 			if _, ok := h.links[a]; !ok {
@@ -197,6 +210,20 @@
 	return waiting > 0 || running > 0
 }
 
+// close ends all links.
+func (h *home) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	for id := range h.waiters {
+		h.drop(id, func(*waiter) bool { return true })
+	}
+	for a, l := range h.links {
+		l.close()
+		delete(h.links, a)
+	}
+}
+
 // dropSilent withdraws the jobs of entries that are out of contact: their
 // callers may submit again elsewhere. The caller holds mu.
 func (h *home) dropSilent(now time.Time) {
@@ -254,6 +281,7 @@
 }
 
 func (h *home) logNote(n *schedule.Note) {
+	h.e.metrics.noted(n)
 	ev := h.log.Info()
 	if n.Job != "" {
 		ev = ev.Str("job", n.Job)
--- a/site/link.go
+++ b/site/link.go
@@ -25,7 +25,7 @@
 }
 
 func newLink(h *home, agent string) *link {
-	l := &link{h: h, agent: agent, client: wire.NewClient(agent, rpcOptions), stop: make(chan struct{})}
+	l := &link{h: h, agent: agent, client: wire.NewClient(agent, rpcOptions(h.e.network)), stop: make(chan struct{})}
 	go l.duty()
 	return l
 }
