--- a/failure/site_test.go
+++ b/failure/site_test.go
@@ -101,8 +101,8 @@
 	cfg := setting.Default[setting.Entry]()
 	cfg.HTTP, cfg.RPC, cfg.Peers, cfg.Policy = "", h.name, s.entryNames(), s.policy
 	cfg.Limits.Deadline = s.policy.Window
-	store := hostStore{Store: s.store, host: h, faults: &s.faults}
-	e, err := entry.Start(cfg, entry.Options{Log: zerolog.Nop(), Clock: hostClock{h}, Store: store, Network: h})
+	st := hostStore{Store: s.store, host: h, faults: &s.faults}
+	e, err := entry.Start(cfg, entry.Options{Log: zerolog.Nop(), Clock: hostClock{h}, Store: st, Network: h})
 	if err != nil {
 		s.t.Fatal(err)
 	}
