--- a/command/site.go
+++ b/command/site.go
@@ -28,6 +28,7 @@
 		Commands: []*cli.Command{
 			{Name: "entry", Usage: "serves callers", Action: func(context.Context, *cli.Command) error { return runSiteEntry() }},
 			{Name: "agent", Usage: "runs tasks on the worker of this VM", Action: func(context.Context, *cli.Command) error { return runSiteAgent() }},
+			siteDemoCommand(),
 		},
 	}
 }
