Become home 150 ms after a start

A home in contact answers a greeting within a few ms, so 300 ms only lengthened the gap after a full stop.

--- a/site/site.go
+++ b/site/site.go
@@ -62,7 +62,7 @@
 	announceSoon  = 100 * time.Millisecond // while an agent is young and some entry does not answer, or none does
 	announceYoung = 5 * time.Second
 	agentKnown    = 2500 * time.Millisecond // silence after which an entry forgets an agent
-	listenFirst   = 300 * time.Millisecond  // before an entry makes itself home
+	listenFirst   = 150 * time.Millisecond  // before an entry makes itself home; a home in contact answers within a few ms
 	forgetPeer    = 30 * time.Second
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
