Split the large files of worker and schedule by concept

Moves only, but for two things: the order of runs in a map no longer decides the order of events and stops, and tasks are compared in one place.

--- /dev/null
+++ b/schedule/report.go
@@ -0,0 +1,117 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// Report is what an agent tells about itself and its worker.
+type Report struct {
+	Life    string // incarnation of the agent
+	Target  work.Target
+	Ready   bool      // it takes starts
+	Settled bool      // nothing runs there that this incarnation did not start
+	Others  work.Room // that runs of other entries take
+	Pace    Pace      // as the agent has seen it; told at the first contact
+	Events  []Event
+	Idle    []work.Run // runs that are not young and have made no progress
+}
+
+// Pace is how long a worker's runs take against their estimates.
+type Pace struct {
+	Runs int
+	Log  float64 // mean of the logarithm of run time over estimate
+}
+
+// Event tells how a run ended.
+type Event struct {
+	Seq    uint64
+	Run    work.Run
+	End    work.End
+	Reason string
+	Took   time.Duration
+}
+
+// settleTime is how long after a worker came into contact more are expected.
+// Until then no job is turned away for the work that waits before it.
+const settleTime = 400 * time.Millisecond
+
+// Report takes what an agent told.
+func (c *Core) Report(now time.Time, agent string, r *Report) {
+	t, ok := c.targets[agent]
+	if !ok {
+		t = &target{agent: agent, life: r.Life, factor: 1, runs: make(map[work.TaskRef]work.Run)}
+		c.settle = now.Add(settleTime)
+		c.targets[agent] = t
+		c.names = append(c.names, agent)
+		slices.Sort(c.names)
+	}
+	if t.life != r.Life {
+		if !r.Settled {
+			t.ready = false
+			return // what it ran before may not have ended yet
+		}
+		c.loseRuns(now, t, "agent started anew")
+		t.life, t.seq = r.Life, 0
+	}
+	if t.Born != r.Target.Born {
+		t.slow, t.streak = mean{n: min(r.Pace.Runs, speedWindow), value: r.Pace.Log}, 0
+		t.judge()
+	}
+	more := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.others || now.Sub(t.heard) > c.cfg.Suspect
+	t.Target, t.ready, t.others, t.heard = r.Target, r.Ready, r.Others, now
+	for _, e := range r.Events {
+		if e.Seq > t.seq {
+			t.seq = e.Seq
+			c.take(now, t, e)
+		}
+	}
+	c.observe(now, t, r.Idle)
+	if more || len(r.Events) > 0 {
+		c.place(now)
+	}
+}
+
+// Acked returns the number of the last event of an agent that was taken, and
+// the incarnation of the agent that it belongs to.
+func (c *Core) Acked(agent string) (life string, seq uint64) {
+	if t, ok := c.targets[agent]; ok {
+		return t.life, t.seq
+	}
+	return "", 0
+}
+
+// Lost tells that all runs at an agent have ended, as far as leases tell.
+func (c *Core) loseAgents(now time.Time) {
+	for _, name := range c.names {
+		t := c.targets[name]
+		if now.Sub(t.heard) > c.cfg.Lost && len(t.runs) > 0 {
+			c.loseRuns(now, t, "agent out of contact")
+		}
+	}
+	c.names = slices.DeleteFunc(c.names, func(name string) bool {
+		t := c.targets[name]
+		gone := now.Sub(t.heard) > forgetAgent && len(t.runs) == 0
+		if gone {
+			delete(c.targets, name)
+		}
+		return gone
+	})
+}
+
+// forgetAgent is the silence after which nothing is kept about an agent.
+const forgetAgent = 30 * time.Second
+
+func (c *Core) loseRuns(now time.Time, t *target, why string) {
+	for _, r := range t.sorted() {
+		c.take(now, t, Event{Run: r, End: work.Lapsed, Reason: why})
+	}
+}
+
+// Uses reports whether something runs at an agent.
+func (c *Core) Uses(agent string) bool {
+	t, ok := c.targets[agent]
+	return ok && len(t.runs) > 0
+}
--- a/work/work.go
+++ b/work/work.go
@@ -18,6 +18,7 @@
 package work
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -126,6 +127,11 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Compare orders tasks by job, step and index.
+func (t TaskRef) Compare(o TaskRef) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), t.Occurrence-o.Occurrence, t.Step-o.Step, t.Index-o.Index)
+}
+
 // ParseTaskRef reads what String wrote.
 func ParseTaskRef(s string) (t TaskRef, err error) {
 	parts := strings.Split(s, ".")
--- /dev/null
+++ b/worker/look.go
@@ -0,0 +1,141 @@
+package worker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// clockDrift bounds how much slower the worker's clock may run, as a factor.
+const clockDrift = 1.03
+
+// leaseSlack is added to the time at which a lease is known to have ended.
+const leaseSlack = 20 * time.Millisecond
+
+// lapsedAt returns when every lease that was asked for has ended.
+func (g *Guard) lapsedAt() time.Time {
+	left := time.Duration(float64(g.until-g.clock) * clockDrift)
+	return g.clockAt.Add(left + leaseSlack)
+}
+
+// Look is what a worker told about its runs.
+type Look struct {
+	Token   uint64 // with which it was asked
+	Born    int64
+	Clock   time.Duration
+	Running map[work.Run]int // percent of the work
+	Ended   []Ended          // by rising number
+}
+
+// Ended is an end that the worker lists.
+type Ended struct {
+	Number uint64
+	Run    work.Run
+	End    work.End
+}
+
+// Fenced notes that the worker has seen a higher token than asked with.
+func (g *Guard) Fenced(now time.Time, clock time.Duration) {
+	g.readClock(now, clock)
+	g.raise()
+}
+
+// Looked takes the answer to a look.
+func (g *Guard) Looked(now time.Time, l Look) {
+	g.newLife(now, l.Born)
+	if l.Born != 0 && l.Born < g.target.Born {
+		return
+	}
+	g.silent, g.looked = false, now
+	g.readClock(now, l.Clock)
+	if g.token == 0 {
+		g.raise()
+	}
+	g.acked = max(g.acked, l.Token)
+	for _, e := range l.Ended {
+		if e.Number <= g.seen {
+			continue
+		}
+		g.seen = e.Number
+		if r, ok := g.runs[e.Run.Task]; ok && r.start.Run == e.Run {
+			g.finish(now, e.Run.Task, e.End, "")
+		}
+	}
+	g.compare(now, l)
+}
+
+// compare brings the runs into line with those that the worker listed.
+func (g *Guard) compare(now time.Time, l Look) {
+	g.settled = true
+	for _, r := range slices.SortedFunc(maps.Keys(l.Running), func(a, b work.Run) int { return cmp.Or(a.Task.Compare(b.Task), a.Number-b.Number) }) {
+		have, ok := g.runs[r.Task]
+		if !ok || have.start.Run != r {
+			g.settled = false
+			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token})
+			continue
+		}
+		g.judge(now, have, l.Running[r])
+		if have.phase == unclear {
+			have.phase = running
+		}
+		if !have.stopped.IsZero() && have.phase != ordered && now.Sub(have.stopped) > stopRepeat {
+			g.stop(now, have)
+		}
+	}
+	for _, ref := range g.refs() {
+		have := g.runs[ref]
+		if have.phase != unclear || have.token >= l.Token {
+			continue
+		}
+		if _, listed := l.Running[have.start.Run]; !listed {
+			g.finish(now, ref, work.Refused, "no answer")
+		}
+	}
+}
+
+// judge notes whether a run makes progress.
+func (g *Guard) judge(now time.Time, r *run, percent int) {
+	if percent > r.percent || r.moved.IsZero() {
+		r.percent, r.moved = percent, now
+	}
+	r.idle = percent < 100 && now.Sub(r.moved) > max(g.cfg.IdleAge, r.start.Estimate/idlePart)
+}
+
+// idlePart is the part of its estimate that a run may be without progress; one
+// percent more is expected after a hundredth.
+const idlePart = 8
+
+// stopRepeat is after how long a stop that did not end a run is sent again; a
+// worker takes at most 50 ms to stop one.
+const stopRepeat = 100 * time.Millisecond
+
+// LookFailed notes that the worker did not answer a look.
+func (g *Guard) LookFailed(now time.Time) {
+	g.silent = now.Sub(g.looked) > g.cfg.Silence
+	g.expire(now)
+}
+
+// expire ends the runs whose leases can not have been renewed.
+func (g *Guard) expire(now time.Time) {
+	if len(g.runs) == 0 || g.clock == 0 || now.Before(g.lapsedAt()) {
+		return
+	}
+	for _, ref := range g.refs() {
+		g.finish(now, ref, work.Lapsed, "worker does not answer")
+	}
+}
+
+// Idle returns the runs of an entry that have made no progress for long.
+func (g *Guard) Idle(entry string) []work.Run {
+	var idle []work.Run
+	for _, ref := range g.refs() {
+		r := g.runs[ref]
+		if r.entry == entry && r.phase == running && r.idle {
+			idle = append(idle, r.start.Run)
+		}
+	}
+	return idle
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -31,7 +31,7 @@
 package worker
 
 import (
-	"math"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,12 +48,6 @@
 	IdleAge   time.Duration // least time without progress after which a run counts as idle
 }
 
-// clockDrift bounds how much slower the worker's clock may run, as a factor.
-const clockDrift = 1.03
-
-// leaseSlack is added to the time at which a lease is known to have ended.
-const leaseSlack = 20 * time.Millisecond
-
 // phase is where a run stands.
 type phase int
 
@@ -76,29 +70,6 @@
 	idle    bool      // looks have shown no progress for too long
 }
 
-// Event tells an entry how a run of its own ended.
-type Event struct {
-	Seq    uint64
-	Run    work.Run
-	End    work.End
-	Reason string        // for Refused: why
-	Took   time.Duration // from the order to the end
-}
-
-type session struct {
-	heard  time.Time // agent's own time that the entry echoed last
-	events []Event
-	seq    uint64
-}
-
-// Order is a call to the worker that the agent has to make.
-type Order struct {
-	Stop  bool
-	Start work.Start // of a stop only Run is set
-	Token uint64
-	Until time.Duration // on the worker's clock
-}
-
 // Guard is the state of an agent. NewGuard makes one.
 type Guard struct {
 	cfg      Config
@@ -170,8 +141,8 @@
 		}
 		return
 	}
-	for ref, r := range g.runs {
-		g.finish(now, ref, r, work.Lapsed, "worker started anew")
+	for _, ref := range g.refs() {
+		g.finish(now, ref, work.Lapsed, "worker started anew")
 	}
 	g.target.Born = born
 	g.token, g.acked, g.seen, g.clock, g.until = 0, 0, 0, 0, 0
@@ -200,12 +171,6 @@
 	return until
 }
 
-// lapsedAt returns when every lease that was asked for has ended.
-func (g *Guard) lapsedAt() time.Time {
-	left := time.Duration(float64(g.until-g.clock) * clockDrift)
-	return g.clockAt.Add(left + leaseSlack)
-}
-
 // Used returns the room that runs take, of all entries and of the others than
 // the one named.
 func (g *Guard) Used(entry string) (all, others work.Room) {
@@ -218,314 +183,18 @@
 	return all, others
 }
 
-// Hear notes that an entry has echoed the agent's own time.
-func (g *Guard) Hear(entry string, echo time.Time) {
-	s := g.session(entry)
-	if echo.After(s.heard) {
-		s.heard = echo
-	}
-}
-
-func (g *Guard) session(entry string) *session {
-	s, ok := g.sessions[entry]
-	if !ok {
-		s = &session{}
-		g.sessions[entry] = s
-	}
-	return s
-}
-
-// Order takes starts and stops from an entry. Starts that are not taken are
-// told as events at once.
-func (g *Guard) Order(now time.Time, entry string, echo time.Time, starts []work.Start, stops []work.Run) {
-	g.Hear(entry, echo)
-	for _, r := range stops {
-		if have, ok := g.runs[r.Task]; ok && have.start.Run == r {
-			g.stop(now, have)
-		}
-	}
-	for _, s := range starts {
-		if why := g.refusal(now, echo, s); why != "" {
-			g.tell(entry, Event{Run: s.Run, End: work.Refused, Reason: why})
-			continue
-		}
-		r := &run{start: s, entry: entry, sent: now}
-		g.runs[s.Run.Task] = r
-		g.send(now, r)
-	}
-}
-
-// The reasons with which an agent refuses a start by itself.
-const (
-	Unready   = "unready"   // the worker is not known, drains, or is silent
-	StaleEcho = "staleEcho" // the order may have been on its way for long
-	Occupied  = "occupied"  // another run of the task has not ended here
-	NoRoom    = "noRoom"
-)
-
-func (g *Guard) refusal(now, echo time.Time, s work.Start) string {
-	all, _ := g.Used("")
-	_, twice := g.runs[s.Run.Task]
-	switch {
-	case !g.known || g.leaving || g.target.Draining || g.silent || g.token == 0:
-		return Unready
-	case now.Sub(echo) > g.cfg.OrderLife:
-		return StaleEcho
-	case twice:
-		return Occupied
-	case !g.target.Capacity.Sub(all).Holds(s.Room):
-		return NoRoom
-	}
-	return ""
-}
-
-func (g *Guard) send(now time.Time, r *run) {
-	r.phase, r.token = ordered, g.token
-	g.orders = append(g.orders, Order{Start: r.start, Token: g.token, Until: g.Until(now)})
-}
-
-func (g *Guard) stop(now time.Time, r *run) {
-	if r.phase == ordered || r.phase == unclear {
-		// The answer decides first; the look after it repeats the stop.
-		r.stopped = now
-		return
-	}
-	r.phase, r.stopped = stopping, now
-	g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r.start.Run}, Token: g.token})
-}
-
-// Take returns the orders to carry out now.
-func (g *Guard) Take() []Order {
-	o := g.orders
-	g.orders = nil
-	return o
-}
-
-// Started takes the worker's answer to a start. An empty reason means that it
-// was taken; fence means that the worker has seen a higher token.
-func (g *Guard) Started(now time.Time, r work.Run, reason string, fenced bool) {
-	have, ok := g.runs[r.Task]
-	if !ok || have.start.Run != r || have.phase != ordered {
-		return
-	}
-	switch {
-	case reason == "":
-		have.phase = running
-		if !have.stopped.IsZero() {
-			g.stop(now, have)
-		}
-	case fenced && have.token < g.token && have.stopped.IsZero():
-		g.send(now, have)
-	default:
-		if fenced {
-			g.raise()
-		}
-		g.finish(now, r.Task, have, work.Refused, reason)
-	}
-}
-
-// Unanswered notes that a start got no answer, so that the token must rise.
-func (g *Guard) Unanswered(r work.Run) {
-	have, ok := g.runs[r.Task]
-	if !ok || have.start.Run != r || have.phase != ordered {
-		return
-	}
-	have.phase = unclear
-	if have.token >= g.token {
-		g.raise()
-	}
-}
-
-// Look is what a worker told about its runs.
-type Look struct {
-	Token   uint64 // with which it was asked
-	Born    int64
-	Clock   time.Duration
-	Running map[work.Run]int // percent of the work
-	Ended   []Ended          // by rising number
-}
-
-// Ended is an end that the worker lists.
-type Ended struct {
-	Number uint64
-	Run    work.Run
-	End    work.End
-}
-
-// Fenced notes that the worker has seen a higher token than asked with.
-func (g *Guard) Fenced(now time.Time, clock time.Duration) {
-	g.readClock(now, clock)
-	g.raise()
-}
-
-// Looked takes the answer to a look.
-func (g *Guard) Looked(now time.Time, l Look) {
-	g.newLife(now, l.Born)
-	if l.Born != 0 && l.Born < g.target.Born {
-		return
-	}
-	g.silent, g.looked = false, now
-	g.readClock(now, l.Clock)
-	if g.token == 0 {
-		g.raise()
-	}
-	g.acked = max(g.acked, l.Token)
-	for _, e := range l.Ended {
-		if e.Number <= g.seen {
-			continue
-		}
-		g.seen = e.Number
-		if r, ok := g.runs[e.Run.Task]; ok && r.start.Run == e.Run {
-			g.finish(now, e.Run.Task, r, e.End, "")
-		}
-	}
-	g.compare(now, l)
-}
-
-// compare brings the runs into line with those that the worker listed.
-func (g *Guard) compare(now time.Time, l Look) {
-	g.settled = true
-	for r, percent := range l.Running {
-		have, ok := g.runs[r.Task]
-		if !ok || have.start.Run != r {
-			g.settled = false
-			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token})
-			continue
-		}
-		g.judge(now, have, percent)
-		if have.phase == unclear {
-			have.phase = running
-		}
-		if !have.stopped.IsZero() && have.phase != ordered && now.Sub(have.stopped) > stopRepeat {
-			g.stop(now, have)
-		}
-	}
-	for ref, have := range g.runs {
-		if have.phase != unclear || have.token >= l.Token {
-			continue
-		}
-		if _, listed := l.Running[have.start.Run]; !listed {
-			g.finish(now, ref, have, work.Refused, "no answer")
-		}
-	}
-}
-
-// judge notes whether a run makes progress.
-func (g *Guard) judge(now time.Time, r *run, percent int) {
-	if percent > r.percent || r.moved.IsZero() {
-		r.percent, r.moved = percent, now
-	}
-	r.idle = percent < 100 && now.Sub(r.moved) > max(g.cfg.IdleAge, r.start.Estimate/idlePart)
-}
-
-// idlePart is the part of its estimate that a run may be without progress; one
-// percent more is expected after a hundredth.
-const idlePart = 8
-
-// stopRepeat is after how long a stop that did not end a run is sent again; a
-// worker takes at most 50 ms to stop one.
-const stopRepeat = 100 * time.Millisecond
-
-// LookFailed notes that the worker did not answer a look.
-func (g *Guard) LookFailed(now time.Time) {
-	g.silent = now.Sub(g.looked) > g.cfg.Silence
-	g.expire(now)
-}
-
-// expire ends the runs whose leases can not have been renewed.
-func (g *Guard) expire(now time.Time) {
-	if len(g.runs) == 0 || g.clock == 0 || now.Before(g.lapsedAt()) {
-		return
-	}
-	for ref, r := range g.runs {
-		g.finish(now, ref, r, work.Lapsed, "worker does not answer")
-	}
+// refs returns the tasks with a run in a fixed order, so that decisions do not
+// depend on the order of a map.
+func (g *Guard) refs() []work.TaskRef {
+	return slices.SortedFunc(maps.Keys(g.runs), work.TaskRef.Compare)
 }
 
 // finish removes a run and tells its entry.
-func (g *Guard) finish(now time.Time, ref work.TaskRef, r *run, how work.End, why string) {
+func (g *Guard) finish(now time.Time, ref work.TaskRef, how work.End, why string) {
+	r := g.runs[ref]
 	delete(g.runs, ref)
 	if how == work.Done {
 		g.pace.add(now.Sub(r.sent), r.start.Estimate)
 	}
 	g.tell(r.entry, Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent)})
 }
-
-// Pace is how long the worker's runs take against their estimates.
-type Pace struct {
-	Runs int     // at most paceWindow
-	Log  float64 // mean of the logarithm of run time over estimate
-}
-
-// paceWindow is the number of runs that the mean looks back on.
-const paceWindow = 40
-
-func (p *Pace) add(took, estimate time.Duration) {
-	if took <= 0 || estimate <= 0 {
-		return
-	}
-	p.Runs = min(p.Runs+1, paceWindow)
-	p.Log += (math.Log(float64(took)/float64(estimate)) - p.Log) / float64(p.Runs)
-}
-
-// Pace returns how long the worker's runs took in its present life.
-func (g *Guard) Pace() Pace { return g.pace }
-
-func (g *Guard) tell(entry string, e Event) {
-	s := g.session(entry)
-	s.seq++
-	e.Seq = s.seq
-	s.events = append(s.events, e)
-}
-
-// Events returns the events of an entry after acked, and forgets earlier ones.
-func (g *Guard) Events(entry string, acked uint64) []Event {
-	s := g.session(entry)
-	i := 0
-	for i < len(s.events) && s.events[i].Seq <= acked {
-		i++
-	}
-	s.events = slices.Delete(s.events, 0, i)
-	return slices.Clone(s.events)
-}
-
-// Idle returns the runs of an entry that have made no progress for long.
-func (g *Guard) Idle(entry string) []work.Run {
-	var idle []work.Run
-	for _, r := range g.runs {
-		if r.entry == entry && r.phase == running && r.idle {
-			idle = append(idle, r.start.Run)
-		}
-	}
-	return idle
-}
-
-// Tick stops the runs of entries that have been silent, and forgets entries
-// that have been so for long. It is called several times in each Contact.
-func (g *Guard) Tick(now time.Time) (stopped []work.Run) {
-	if g.silent {
-		g.expire(now)
-	}
-	for _, r := range g.runs {
-		s := g.sessions[r.entry]
-		if r.stopped.IsZero() && now.Sub(s.heard) > g.cfg.Contact {
-			g.stop(now, r)
-			stopped = append(stopped, r.start.Run)
-		}
-	}
-	for name, s := range g.sessions {
-		if now.Sub(s.heard) > g.cfg.Forget && !g.serves(name) {
-			delete(g.sessions, name)
-		}
-	}
-	return stopped
-}
-
-func (g *Guard) serves(entry string) bool {
-	for _, r := range g.runs {
-		if r.entry == entry {
-			return true
-		}
-	}
-	return false
-}
