Let new entries into the list of known ones when it is full

Found by reading: after 64 addresses, those of replaced entries kept new ones out for good. The one that was told longest ago leaves now; the test failed before.

--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -13,18 +13,26 @@
 // is empty and ready to use.
 type entryList struct {
 	mu        sync.Mutex // guards addresses
-	addresses []string
+	addresses []string   // the one that was told longest ago first
 }
 
-// maxEntries bounds the list; addresses that are no longer used stay in it.
+// maxEntries bounds the list, since addresses that are no longer used stay in
+// it: several times the entries of the largest site.
 const maxEntries = 64
 
 func (l *entryList) add(addresses ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range addresses {
-		if a != "" && len(l.addresses) < maxEntries && !slices.Contains(l.addresses, a) {
-			l.addresses = append(l.addresses, a)
+		if a == "" {
+			continue
+		}
+		if i := slices.Index(l.addresses, a); i >= 0 {
+			l.addresses = slices.Delete(l.addresses, i, i+1)
+		}
+		l.addresses = append(l.addresses, a)
+		if len(l.addresses) > maxEntries {
+			l.addresses = slices.Delete(l.addresses, 0, 1)
 		}
 	}
 }
