--- a/schedule/core.go
+++ b/schedule/core.go
@@ -151,12 +151,6 @@
 	stopping bool
 }
 
-// Known reports whether the job has not been answered yet.
-func (c *Core) Known(id string) bool {
-	j, ok := c.jobs[id]
-	return ok && !j.over
-}
-
 // Load returns the tasks that wait and those that run.
 func (c *Core) Load() (waiting, running int) {
 	for _, t := range c.targets {
