Ignore announcements of a target that were overtaken

In the test both fall on one instant. Ruled out: the platform's path, which has its own heartbeats, and load as such, since a test of the agent alone shows it every time.

--- a/agent/target.go
+++ b/agent/target.go
@@ -54,6 +54,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !ann.Overtakes(&a.announced) {
+		a.log.Info().Str("target", ann.Name).Uint64("seq", ann.Seq).Uint64("taken", a.announced.Seq).Msg("late announcement ignored")
+		return nil
+	}
 	a.announced = ann
 	a.heard = a.clock.Now()
 	if ann.Leaving {
--- a/failure/drain_test.go
+++ b/failure/drain_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"masticbay/table"
-	"masticbay/target"
 )
 
 // drainLimit is the time after which a target that leaves gets no new start.
@@ -21,9 +20,7 @@
 	},
 	"target leaves": func(s *site, i int) {
 		d := s.desks[i]
-		d.silence()
-		ann := target.Announcement{Name: d.name, Service: service, Address: d.name + ":1", Slots: slots, Leaving: true}
-		if err := s.agent(i).Hear(ann); err != nil {
+		if err := s.agent(i).Hear(d.lastAnnouncement()); err != nil {
 			s.t.Error(err)
 		}
 	},
--- a/failure/outside_test.go
+++ b/failure/outside_test.go
@@ -121,6 +121,7 @@
 	runs   int
 	killed chan struct{} // closed while the target is dead
 	silent bool          // it runs tasks, but announces itself no more
+	seq    uint64        // of its last announcement
 }
 
 func newDesk(h host, seed uint64, g *gauge) *desk {
@@ -133,18 +134,29 @@
 	close(d.killed)
 }
 
-func (d *desk) silence() {
+// announcement returns the next announcement of the target, and false if it
+// makes none.
+func (d *desk) announcement() (ann target.Announcement, ok bool) {
+	dead := d.dead()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.silent = true
+	return d.announce(false), !dead && !d.silent
 }
 
-// announces reports whether the target announces itself.
-func (d *desk) announces() bool {
-	dead := d.dead()
+// lastAnnouncement returns the one with which the target leaves.
+func (d *desk) lastAnnouncement() target.Announcement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !dead && !d.silent
+	d.silent = true
+	return d.announce(true)
+}
+
+// announce numbers an announcement. The caller holds mu.
+func (d *desk) announce(leaving bool) target.Announcement {
+	d.seq++
+	return target.Announcement{
+		Name: d.name, Service: service, Address: d.name + ":1", Slots: slots, Leaving: leaving, Life: d.name, Seq: d.seq,
+	}
 }
 
 func (d *desk) revive() {
--- a/failure/site_test.go
+++ b/failure/site_test.go
@@ -140,11 +140,11 @@
 func (s *site) announceDuty(i int) {
 	d := s.desks[i]
 	for s.sleep(time.Second) {
-		if !d.announces() {
+		ann, ok := d.announcement()
+		if !ok {
 			continue
 		}
 		s.n.awaken(d.host.name)
-		ann := target.Announcement{Name: d.name, Service: service, Address: d.name + ":1", Slots: slots}
 		if err := s.agent(i).Hear(ann); err != nil {
 			s.t.Error(err)
 		}
--- a/site/agent.go
+++ b/site/agent.go
@@ -30,6 +30,7 @@
 type Agent struct {
 	node    *platform.Node
 	log     zerolog.Logger
+	perRun  zerolog.Logger // lines of single runs; bounded
 	clock   clock.Clock
 	life    string
 	worker  *platform.Worker
@@ -60,7 +61,7 @@
 	}
 	dial := dialOf(o.Network)
 	a = &Agent{
-		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("agent"),
+		node: o.Node, log: o.Log, perRun: bounded(o.Log), clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(guardConfig()), news: make(chan struct{}), taken: make(map[string]uint64),
@@ -195,7 +196,7 @@
 	defer a.mu.Unlock()
 	if err != nil {
 		a.metrics.unanswered.Inc(1)
-		a.log.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
+		a.perRun.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
 		a.guard.Unanswered(o.Start.Run)
 		go a.look(0) // with the higher token
 		return
@@ -206,7 +207,7 @@
 	} else {
 		reason = ans.Reason
 		a.metrics.refused.Inc(1)
-		a.log.Info().Str("run", o.Start.Run.String()).Str("reason", reason).Uint64("token", o.Token).Msg("start refused by the worker")
+		a.perRun.Info().Str("run", o.Start.Run.String()).Str("reason", reason).Uint64("token", o.Token).Msg("start refused by the worker")
 	}
 	a.guard.Started(a.now(), o.Start.Run, reason, reason == platform.ReasonFence)
 	a.perform()
@@ -220,7 +221,7 @@
 	defer cancel()
 	if _, err := a.worker.Stop(ctx, o.Start.Run, o.Token); err != nil {
 		// The next look repeats it if the run is still there.
-		a.log.Warn().Err(err).Str("run", o.Start.Run.String()).Msg("stop not answered")
+		a.perRun.Warn().Err(err).Str("run", o.Start.Run.String()).Msg("stop not answered")
 	}
 }
 
@@ -318,7 +319,7 @@
 		a.mu.Unlock()
 		a.metrics.orphaned.Inc(int64(len(stopped)))
 		for _, r := range stopped {
-			a.log.Warn().Str("run", r.String()).Msg("run stopped: its home is out of contact")
+			a.perRun.Warn().Str("run", r.String()).Msg("run stopped: its home is out of contact")
 		}
 	}
 }
--- a/site/entry.go
+++ b/site/entry.go
@@ -69,7 +69,7 @@
 		stop: make(chan struct{}), peers: make(map[string]*wire.Client), agents: make(map[string]time.Time), pull: make(map[string]bool),
 		sessions: make(map[string]uint64), jobs: make(map[string]int),
 	}
-	e.requests = e.log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
+	e.requests = bounded(e.log)
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
 	e.home = newHome(e)
@@ -129,10 +129,6 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) }
 }
 
-// requestLines bounds the lines about single requests, a second and kind: twice
-// what the largest site sends an entry in a burst.
-const requestLines = 400
-
 const (
 	frontHeaderTimeout = 3 * time.Second // for the header of a request once its first byte came
 	frontIdle          = 60 * time.Second
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -35,14 +35,14 @@
 		case ctx.Err() != nil:
 			return work.Outcome{State: work.Unknown, Reason: "the caller's time is over"}
 		case errors.Is(err, wire.ErrNotSent):
-			e.log.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
+			e.requests.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
 			e.loseHome(home)
 			sleep(ctx, homePoll)
 			continue
 		}
 		sent = true
 		e.metrics.lostHome.Inc(1)
-		e.log.Warn().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
+		e.requests.Warn().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
 		e.loseHome(home)
 		firstRun += runStride
 		sleep(ctx, failover)
@@ -179,7 +179,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
 	if _, err := wire.Call[WithdrawArgs, WithdrawReply](ctx, c, entryWithdraw, args); err != nil {
-		e.log.Info().Err(err).Str("job", args.Job).Msg("job not withdrawn")
+		e.requests.Info().Err(err).Str("job", args.Job).Msg("job not withdrawn")
 	}
 }
 
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -25,11 +25,13 @@
 	defer e.open.Add(-1)
 	cfg := e.config.Load()
 	if cfg == nil {
+		e.requests.Warn().Str("path", r.URL.Path).Msg("refused: no configuration yet")
 		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
 		return
 	}
 	q, prefix, ok := cfg.Queue(r.Host, r.URL.Path)
 	if !ok {
+		e.requests.Info().Str("path", r.URL.Path).Uint64("config", cfg.Version()).Msg("refused: no such queue")
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -74,18 +76,18 @@
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		e.log.Info().Err(err).Str("job", id).Msg("request not read")
+		e.requests.Info().Err(err).Str("job", id).Msg("request not read")
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
 	s, err := platform.DecodeJob(id, q, raw)
 	if err != nil {
-		e.log.Info().Err(err).Str("job", id).Msg("request not understood")
+		e.requests.Info().Err(err).Str("job", id).Msg("request not understood")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if s.Stored || s.Lasting || s.Scheduled || s.Filling {
-		e.log.Warn().Str("job", id).Bool("stored", s.Stored).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
+		e.requests.Warn().Str("job", id).Bool("stored", s.Stored).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
 		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Minute))
 		return
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -16,7 +16,7 @@
 // afterwards until its last run has ended.
 type home struct {
 	e   *Entry
-	log zerolog.Logger
+	log zerolog.Logger // lines of single jobs and runs; bounded
 	due chan struct{}
 
 	mu      sync.Mutex // guards what follows
@@ -277,7 +277,7 @@
 		return
 	}
 	// Without a link the agent is not heard either, so its runs will lapse.
-	h.log.Warn().Str("agent", agent).Int("starts", len(starts)).Msg("orders for an agent without a link")
+	h.e.log.Warn().Str("agent", agent).Int("starts", len(starts)).Msg("orders for an agent without a link")
 }
 
 func (h *home) logNote(n *schedule.Note) {
--- a/site/link.go
+++ b/site/link.go
@@ -95,12 +95,12 @@
 	if err != nil {
 		l.client.Reset()
 		if !l.closed() && !l.silent.Swap(true) {
-			l.h.log.Warn().Err(err).Str("agent", l.agent).Msg("agent does not answer")
+			l.h.e.log.Warn().Err(err).Str("agent", l.agent).Msg("agent does not answer")
 		}
 		return false
 	}
 	if l.silent.Swap(false) {
-		l.h.log.Info().Str("agent", l.agent).Msg("agent answers")
+		l.h.e.log.Info().Str("agent", l.agent).Msg("agent answers")
 	}
 	l.h.mu.Lock()
 	defer l.h.mu.Unlock()
--- a/site/site.go
+++ b/site/site.go
@@ -29,6 +29,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"masticbay/roster"
 	"masticbay/schedule"
 	"masticbay/worker"
@@ -67,6 +69,16 @@
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
 
+// requestLines bounds the lines about single jobs and runs, a second and process.
+// A home writes one for each job, up to 155 a second on standard days of the small
+// sites; on the grown ones it leaves some out.
+const requestLines = 400
+
+// bounded returns a log for lines about single jobs and runs.
+func bounded(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
+}
+
 func guardConfig() worker.Config {
 	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
 }
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -4,7 +4,8 @@
 // # Model
 //
 // A target announces itself to the agent on its VM every second: its name, its
-// service, its address and its slots. The agent starts a task by a POST of the
+// service, its address and its slots. Announcements are numbered, since one that
+// is late must not bring back a target that has said that it leaves. The agent starts a task by a POST of the
 // payload to the target's address. The status 200 carries the result, as JSON;
 // any other status means that the task ran and failed.
 //
@@ -41,6 +42,17 @@
 	Address string `json:"address"` // IP number and port
 	Slots   int    `json:"slots"`
 	Leaving bool   `json:"leaving"`
+
+	// Life tells the lives of a target apart, and Seq rises with each
+	// announcement of one, so that those that were overtaken are known. A target
+	// that leaves Life empty has its announcements taken in the order of arrival.
+	Life string `json:"life,omitempty"`
+	Seq  uint64 `json:"seq,omitempty"`
+}
+
+// Overtakes reports whether a was sent after b, as far as they tell.
+func (a *Announcement) Overtakes(b *Announcement) bool {
+	return a.Life == "" || a.Life != b.Life || a.Seq > b.Seq
 }
 
 const maxSlots = 10_000
--- a/target/server.go
+++ b/target/server.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"masticbay/identity"
 )
 
 // Config describes a stand-in.
@@ -42,11 +44,13 @@
 
 // Server is a stand-in of a target.
 type Server struct {
-	cfg     Config
-	http    *http.Server
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-	running atomic.Int64
+	cfg       Config
+	life      string
+	http      *http.Server
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+	running   atomic.Int64
+	announced atomic.Uint64 // number of the last announcement
 
 	mu     sync.Mutex // guards what follows
 	rand   *rand.Rand
@@ -65,7 +69,7 @@
 		cfg.Journal = &Journal{}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s = &Server{cfg: cfg, cancel: cancel, rand: rand.New(rand.NewPCG(uint64(cfg.Seed), 1))}
+	s = &Server{cfg: cfg, life: identity.New("target"), cancel: cancel, rand: rand.New(rand.NewPCG(uint64(cfg.Seed), 1))}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+RunPath, s.run)
 	mux.HandleFunc("PUT /faults", s.putFaults)
@@ -126,7 +130,7 @@
 	defer func() { err = errors.Annotate(err, "announcing the target") }()
 	body, err := json.Marshal(Announcement{
 		Name: s.cfg.Name, Service: s.cfg.Service, Address: s.cfg.Address,
-		Slots: s.cfg.Slots, Leaving: leaving,
+		Slots: s.cfg.Slots, Leaving: leaving, Life: s.life, Seq: s.announced.Add(1),
 	})
 	if err != nil {
 		return err
