Number orders over the life of a home, not of a link

Under 14 parallel copies 6 of 112 and 2 of 84 runs failed the same way; alone 0 of 6.

Cause: the paused home steps down when it first hears the new one, closes its links and, in one of two orders of messages of the same instant, acts as home again. Its new links numbered orders from 1; agents had taken higher numbers of the same incarnation and dropped them as known. All runs seemed to take far longer than expected until the number was reached again.

Ruled out: load of the machine (the two outcomes are distinct and each is exact: 20 or 141 to 149 rejections); the check (a job that ran was rejected only since nothing could be placed).

--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -35,6 +37,16 @@
 	longQueue = work.Queue{Name: "long", Service: service, Priority: 2, MaxAttempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond}
 )
 
+// showLogs lets the duties of a fleet write their logs to standard error.
+var showLogs = flag.Bool("logs", false, "print the logs of the duties of fleets")
+
+func fleetLog(node string) zerolog.Logger {
+	if !*showLogs {
+		return zerolog.Nop()
+	}
+	return zerolog.New(os.Stderr).With().Str("node", node).Timestamp().Logger()
+}
+
 // fleet is an installation on the users' platform: whole duties of entries and
 // agents, stand-ins of the store and of workers, on a network in memory.
 type fleet struct {
@@ -131,7 +143,7 @@
 func (s *fleet) startEntry(i int) {
 	n := s.node(fmt.Sprint("e", i))
 	n.Front, n.Ready = fmt.Sprint("f", i), fmt.Sprint("r", i)
-	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: zerolog.Nop(), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
+	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -143,7 +155,7 @@
 func (s *fleet) startAgent(i int) {
 	n := s.node(fmt.Sprint("a", i))
 	n.Control, n.Worker = fmt.Sprint("c", i), fmt.Sprint("w", i)
-	a, err := daemon.StartAgent(daemon.AgentOptions{Node: &n, Log: zerolog.Nop(), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
+	a, err := daemon.StartAgent(daemon.AgentOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.n, n.Name}}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -25,6 +25,9 @@
 	waiters map[string][]*waiter // by job
 	links   map[string]*link     // by agent
 	entries map[string]contact   // by incarnation
+	// lastOrder is the number of the last order to any agent. It rises over the
+	// life of the process, longer than links live: agents take no number twice.
+	lastOrder uint64
 }
 
 // contact is what a home knows of an entry that gives it jobs.
--- a/site/link.go
+++ b/site/link.go
@@ -17,7 +17,6 @@
 	stop    chan struct{}
 	life    string // incarnation of the agent; empty before it was heard
 	echo    time.Duration
-	seq     uint64
 	orders  []orderBatch // that the agent has not confirmed
 	target  work.Target
 	version uint64
@@ -68,8 +67,8 @@
 
 // send queues orders and sends them at once. The caller holds home.mu.
 func (l *link) send(starts []work.Start, stops []work.Run) {
-	l.seq++
-	b := orderBatch{Seq: l.seq, Echo: l.echo, Stops: stops, Starts: starts}
+	l.h.lastOrder++
+	b := orderBatch{Seq: l.h.lastOrder, Echo: l.echo, Stops: stops, Starts: starts}
 	for i := range starts {
 		if b.Specs == nil {
 			b.Specs = make(map[string]string)
@@ -112,7 +111,6 @@
 func (l *link) take(rep *SyncReply) {
 	if rep.Report.Life != l.life {
 		l.life, l.orders, l.echo, l.version = rep.Report.Life, nil, 0, 0
-		l.seq = 0
 	}
 	if rep.Report.Target.ID != "" {
 		l.target = rep.Report.Target
