--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -114,10 +114,16 @@
 	}
 }
 
-// reject answers a job of which nothing was sent to an agent.
+// reject answers a job of which nothing was sent to an agent since it was
+// submitted. If it was submitted before and some of it was sent then, its
+// outcome is unknown.
 func (c *Core) reject(now time.Time, j *job, why string, retry time.Duration) {
 	c.note(Note{Job: j.ID, What: "rejected", Why: why, Values: map[string]float64{
 		"waitedMs": ms(now.Sub(j.begun)), "queuedTasks": float64(c.queued), "retryMs": ms(retry), "cutoffMs": ms(j.cutoff.Sub(now)),
 	}})
-	c.close(j, work.Outcome{State: work.Rejected, Reason: why, RetryAfter: retry})
+	out := work.Outcome{State: work.Rejected, Reason: why, RetryAfter: retry}
+	if c.began[j.ID] {
+		out = work.Outcome{State: work.Unknown, Reason: "ran before its caller was lost; now " + why}
+	}
+	c.close(j, out)
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -40,6 +40,7 @@
 type Config struct {
 	Suspect   time.Duration // silence of an agent after which it gets no new task
 	Lost      time.Duration // silence of an agent after which its runs have ended
+	Far       float64       // multiple of its run time that a task takes away from its data; 1 if less
 	Late      float64       // multiple of the objective after which an answer is of no use
 	Margin    time.Duration // time for messages between a placement and its start, and back
 	Remember  int           // ended jobs whose outcome is kept for callers that ask again
@@ -56,6 +57,8 @@
 	queued  int    // tasks that wait
 	ended   map[string]work.Outcome
 	endings []string         // keys of ended, oldest first
+	began   map[string]bool  // jobs that were withdrawn after something of them was sent
+	begins  []string         // keys of began, oldest first
 	bias    map[string]*bias // by queue
 	settle  time.Time        // until then more workers are expected to come into contact
 	priors  time.Time        // when the means of the kinds of workers were computed
@@ -66,7 +69,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		ended: make(map[string]work.Outcome), bias: make(map[string]*bias),
+		ended: make(map[string]work.Outcome), began: make(map[string]bool), bias: make(map[string]*bias),
 	}
 }
 
@@ -272,8 +275,11 @@
 	c.dequeue(j)
 	c.noteEnd(j, out)
 	c.out.Outcomes = append(c.out.Outcomes, Ending{j.ID, out})
-	if out.State == work.Completed || out.State == work.JobFailed {
+	switch out.State {
+	case work.Completed, work.JobFailed:
 		c.remember(j.ID, out)
+	default:
+		c.rememberBegin(j)
 	}
 	c.discard(j)
 }
@@ -307,6 +313,20 @@
 	c.endings = append(c.endings, id)
 }
 
+// rememberBegin keeps in mind that something of a job may have run, so that it
+// is not said to have not run when its caller submits it again.
+func (c *Core) rememberBegin(j *job) {
+	if !j.sent || c.began[j.ID] {
+		return
+	}
+	if len(c.begins) >= c.cfg.Remember {
+		delete(c.began, c.begins[0])
+		c.begins = c.begins[1:]
+	}
+	c.began[j.ID] = true
+	c.begins = append(c.begins, j.ID)
+}
+
 // stopAll stops the runs of a job that have more than rest to go.
 func (c *Core) stopAll(now time.Time, j *job, rest time.Duration) {
 	for i := range j.tasks {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -154,7 +154,7 @@
 		if !c.suits(j, step, t) {
 			continue
 		}
-		took := time.Duration(float64(nominal) * t.slowness() * distance(st, t))
+		took := time.Duration(float64(nominal) * t.slowness() * c.distance(st, t))
 		inTime := c.meets(now, j, took)
 		if !t.free().Holds(st.Room) {
 			worthWaiting = worthWaiting || inTime
@@ -202,12 +202,11 @@
 // equally fast: a fifth, since estimates are far less exact.
 const similarSpeed = 5
 
-// farFactor is how many times as long a task takes away from its data.
-const farFactor = 1.5
-
-func distance(st *work.Step, t *target) float64 {
+// distance returns how many times as long a task takes on a worker as it would
+// near its data.
+func (c *Core) distance(st *work.Step, t *target) float64 {
 	if st.Affinity != "" && !slices.Contains(t.Labels, st.Affinity) {
-		return farFactor
+		return max(c.cfg.Far, 1)
 	}
 	return 1
 }
@@ -249,7 +248,7 @@
 	st := &j.Steps[step]
 	tk := &j.tasks[step][index]
 	tk.state, tk.run, tk.agent, tk.began = placed, number, t.agent, now
-	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * distance(st, t))
+	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * c.distance(st, t))
 	j.pending--
 	c.queued--
 	j.running++
@@ -262,5 +261,6 @@
 	if c.out.Starts == nil {
 		c.out.Starts = make(map[string][]work.Start)
 	}
-	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: st.Estimate})
+	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here})
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -11,7 +11,7 @@
 
 var cfg = schedule.Config{
 	Suspect: 300 * time.Millisecond, Lost: 1350 * time.Millisecond, Late: 3, Margin: 5 * time.Millisecond,
-	Remember: 100, MaxQueued: 1000,
+	Far: 3, Remember: 100, MaxQueued: 1000,
 }
 
 // desk plays the agents and the entries around a Core.
@@ -356,3 +356,49 @@
 		t.Error("a worker on which runs failed one after the other got another one")
 	}
 }
+
+// TestJobThatRanIsNotSaidToHaveNotRun: its caller was lost after some of it had
+// run; what comes again is rejected by a home that knows of that.
+func TestJobThatRanIsNotSaidToHaveNotRun(t *testing.T) {
+	d := newDesk(t)
+	d.agent("a", 1)
+	d.submit(job("j", 0, 1, 100*time.Millisecond))
+	d.c.Withdraw(d.now, "j")
+	d.take()
+	d.end("a", d.starts["a"][0], work.Stopped, time.Millisecond)
+	late := job("j", 0, 1, 100*time.Millisecond)
+	late.Left = time.Millisecond
+	d.submit(late)
+	d.wantOutcome("j", work.Unknown)
+}
+
+// TestManyJobsOfOneRack: what answers a rush of jobs whose data is on one rack.
+// They wait for workers of that rack while they can be in time there, and what
+// runs elsewhere does not make a worker count as slow.
+func TestManyJobsOfOneRack(t *testing.T) {
+	d := newDesk(t)
+	d.agent("near", 1, "a", "r1")
+	d.agent("far", 8, "a", "r2")
+	near := func(id string, est time.Duration) work.Job {
+		j := job(id, 0, 1, est)
+		j.Steps[0].Affinity = "r1"
+		return j
+	}
+	d.submit(near("first", 300*time.Millisecond))
+	d.submit(near("second", 300*time.Millisecond))
+	d.wantStarts("near", 1)
+	d.wantStarts("far", 0)
+	d.pass(100 * time.Millisecond)
+	d.end("near", d.starts["near"][0], work.Done, 100*time.Millisecond)
+	d.wantStarts("near", 2)
+
+	for i := range 60 {
+		j := job("far"+strconv.Itoa(i), 0, 1, 100*time.Millisecond)
+		j.Steps[0].Affinity, j.Steps[0].Label = "r1", "r2"
+		d.submit(j)
+		d.end("far", d.starts["far"][i], work.Done, 300*time.Millisecond)
+	}
+	before := len(d.starts["far"])
+	d.submit(job("any", 0, 1, 100*time.Millisecond))
+	d.wantStarts("far", before+1)
+}
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -65,7 +65,7 @@
 	if est <= 0 || took <= 0 {
 		return
 	}
-	ratio := math.Log(float64(took) / float64(est))
+	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t))
 	b := c.queueBias(j.Queue.Name)
 	t.slow.add(ratio-b.value, speedWindow)
 	t.judge()
--- a/site/site.go
+++ b/site/site.go
@@ -31,6 +31,7 @@
 
 	"github.com/rs/zerolog"
 
+	"masticbay/platform"
 	"masticbay/roster"
 	"masticbay/schedule"
 	"masticbay/worker"
@@ -83,9 +84,9 @@
 	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
 }
 
-func coreConfig() schedule.Config {
+func coreConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
-		Suspect: agentSuspect, Lost: agentLost, Late: 3, Margin: 5 * time.Millisecond,
+		Suspect: agentSuspect, Lost: agentLost, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
 		Remember: 4096, MaxQueued: 20000,
 	}
 }
--- a/work/work.go
+++ b/work/work.go
@@ -196,7 +196,7 @@
 	Run        Run
 	Spec       string
 	Room       Room
-	Estimate   time.Duration
+	Estimate   time.Duration // on a worker of slowness 1 at this distance from the data
 	Checkpoint string // where to resume; empty for the beginning
 }
 
