--- a/command/site.go
+++ b/command/site.go
@@ -26,13 +26,17 @@
 		Name:  "site",
 		Usage: "runs a process of masticbay on the users' platform",
 		Commands: []*cli.Command{
-			{Name: "entry", Usage: "serves callers", Action: func(context.Context, *cli.Command) error { return runSiteEntry() }},
-			{Name: "agent", Usage: "runs tasks on the worker of this VM", Action: func(context.Context, *cli.Command) error { return runSiteAgent() }},
+			{Name: "entry", Usage: "serves callers", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteEntry},
+			{Name: "agent", Usage: "runs tasks on the worker of this VM", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteAgent},
 			siteDemoCommand(),
 		},
 	}
 }
 
+func siteListenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "listen for masticbay's own processes at this `ADDRESS` and not at the announced one, behind address translation"}
+}
+
 // logRing is how many lines wait for standard output; when it is full, lines
 // are dropped and counted, so that nothing waits for a reader.
 const logRing = 4096
@@ -46,7 +50,7 @@
 	return telemetry.NewLog(w, "info", role), func() { _ = w.Close() }
 }
 
-func runSiteEntry() error {
+func runSiteEntry(_ context.Context, cmd *cli.Command) error {
 	node, err := platform.ReadNode()
 	if err != nil {
 		return err
@@ -54,7 +58,7 @@
 	web.AllowSlowStop(node.Grace)
 	log, flush := siteLog("entry")
 	defer flush()
-	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log})
+	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log, Listen: cmd.String("listen")})
 	if err != nil {
 		return err
 	}
@@ -85,7 +89,7 @@
 	}()
 }
 
-func runSiteAgent() error {
+func runSiteAgent(_ context.Context, cmd *cli.Command) error {
 	node, err := platform.ReadNode()
 	if err != nil {
 		return err
@@ -93,7 +97,7 @@
 	web.AllowSlowStop(node.Grace)
 	log, flush := siteLog("agent")
 	defer flush()
-	a, err := site.StartAgent(site.AgentOptions{Node: node, Log: log})
+	a, err := site.StartAgent(site.AgentOptions{Node: node, Log: log, Listen: cmd.String("listen")})
 	if err != nil {
 		return err
 	}
--- a/site/agent.go
+++ b/site/agent.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -22,6 +23,9 @@
 	Node  *platform.Node
 	Log   zerolog.Logger
 	Clock clock.Clock // clock.Boot if nil
+	// Listen is where other processes of the site reach this one, behind address
+	// translation; the announced address if empty.
+	Listen string
 	// Network is where the process is reached and reaches others; TCP if nil.
 	Network wire.Network
 }
@@ -70,7 +74,7 @@
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
 		return nil, err
 	}
-	lns, err := listenAll(a.network, o.Node.Internal, o.Node.Control, o.Node.Metrics)
+	lns, err := listenAll(a.network, cmp.Or(o.Listen, o.Node.Internal), o.Node.Control, o.Node.Metrics)
 	if err != nil {
 		return nil, err
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -23,6 +24,9 @@
 	Node  *platform.Node
 	Log   zerolog.Logger
 	Clock clock.Clock // clock.Boot if nil
+	// Listen is where other processes of the site reach this one, behind address
+	// translation; the announced address if empty.
+	Listen string
 	// Network is where the process is reached and reaches others; TCP if nil.
 	Network wire.Network
 }
@@ -77,7 +81,7 @@
 	if e.rpc, err = wire.NewServer("Entry", &entryMethods{e}, nil); err != nil {
 		return nil, err
 	}
-	if err := e.listen(); err != nil {
+	if err := e.listen(cmp.Or(o.Listen, e.node.Internal)); err != nil {
 		return nil, err
 	}
 	go e.configDuty()
@@ -89,8 +93,8 @@
 	return e, nil
 }
 
-func (e *Entry) listen() error {
-	lns, err := listenAll(e.network, e.node.Internal, e.node.Front, e.node.Ready, e.node.Metrics)
+func (e *Entry) listen(internal string) error {
+	lns, err := listenAll(e.network, internal, e.node.Front, e.node.Ready, e.node.Metrics)
 	if err != nil {
 		return err
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -197,7 +197,7 @@
 	Spec       string
 	Room       Room
 	Estimate   time.Duration // on a worker of slowness 1 at this distance from the data
-	Checkpoint string // where to resume; empty for the beginning
+	Checkpoint string        // where to resume; empty for the beginning
 }
 
 // Target describes a worker as it reports itself.
