Let a new life of a worker show what it runs before runs are given up

Cause: the worker crashed while a start was on its way, and its new life carried the start out. The agent saw the new life and told its home that all runs had lapsed. The new life had also seen the token of the start, while the agent's tokens began anew from the new clock and rose by one with each refusal: after an hour of uptime the worker would have refused everything for minutes.

Change: after a new life every run is unclear until a look with a higher token shows it or not. Tokens go on over lives, and after refusals in a row they rise by steps that double. A refusal for another reason than the token raises nothing.

Tests that fail without it: TestOrderThatReachedANewLifeIsNotGivenUp, TestTokensRiseOverLivesOfTheWorker, TestTokenCatchesUp. TestNewLifeOfTheWorkerEndsItsRuns demanded that the runs are given up at the first look; that look was asked for with a token that the order may have had, so it wants the end after the second one now, and none after the first.

--- a/site/agent.go
+++ b/site/agent.go
@@ -68,7 +68,7 @@
 		node: o.Node, log: o.Log, perRun: bounded(o.Log), clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
-		guard: worker.NewGuard(guardConfig()), news: make(chan struct{}), taken: make(map[string]uint64),
+		guard: worker.NewGuard(guardConfig(o.Node)), news: make(chan struct{}), taken: make(map[string]uint64),
 	}
 	a.entries.add(o.Node.Entries...)
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
@@ -272,7 +272,9 @@
 		}
 		return false
 	case !ans.Taken:
-		a.guard.Fenced(now, ans.Clock)
+		if ans.Reason == platform.ReasonFence {
+			a.guard.Fenced(now, ans.Clock, token)
+		}
 		a.log.Info().Str("reason", ans.Reason).Uint64("token", token).Msg("look refused by the worker")
 		return ans.Reason == platform.ReasonFence
 	}
@@ -290,6 +292,9 @@
 	if a.guard.Running() != before {
 		a.tell()
 	}
+	if a.guard.Unclear() {
+		go a.look(0) // with the higher token
+	}
 	return true
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -80,8 +80,8 @@
 	return log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
 }
 
-func guardConfig() worker.Config {
-	return worker.Config{Lease: workerLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
+func guardConfig(n *platform.Node) worker.Config {
+	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
 }
 
 func coreConfig(n *platform.Node) schedule.Config {
--- a/worker/look.go
+++ b/worker/look.go
@@ -37,15 +37,25 @@
 	End    work.End
 }
 
-// Fenced notes that the worker has seen a higher token than asked with.
-func (g *Guard) Fenced(now time.Time, clock time.Duration) {
+// Fenced notes that the worker has seen a higher token than the one asked with.
+// It does not tell which, so the token rises by more with each refusal.
+func (g *Guard) Fenced(now time.Time, clock time.Duration, asked uint64) {
 	g.readClock(now, clock)
+	if asked < g.token {
+		return // it has risen since
+	}
+	g.leap = max(2*g.leap, firstLeap)
+	g.token += g.leap
 	g.raise()
 }
 
+// firstLeap is by how much the token rises after a first refusal. It catches up
+// with the highest token of a life of an hour in 19 refusals.
+const firstLeap = 8
+
 // Looked takes the answer to a look.
 func (g *Guard) Looked(now time.Time, l Look) {
-	g.newLife(now, l.Born)
+	g.newLife(now, l.Born, l.Clock)
 	if l.Born != 0 && l.Born < g.target.Born {
 		return
 	}
@@ -54,7 +64,7 @@
 	if g.token == 0 {
 		g.raise()
 	}
-	g.acked = max(g.acked, l.Token)
+	g.acked, g.leap = max(g.acked, l.Token), 0
 	for _, e := range l.Ended {
 		if e.Number <= g.seen {
 			continue
@@ -91,11 +101,20 @@
 			continue
 		}
 		if _, listed := l.Running[have.start.Run]; !listed {
-			g.finish(now, ref, work.Refused, "no answer")
+			how, why := have.absent()
+			g.finish(now, ref, how, why)
 		}
 	}
 }
 
+// absent tells why a run is not there that may have been begun.
+func (r *run) absent() (how work.End, why string) {
+	if r.reborn {
+		return work.Lapsed, "worker started anew"
+	}
+	return work.Refused, "no answer"
+}
+
 // judge notes whether a run makes progress.
 func (g *Guard) judge(now time.Time, r *run, percent int) {
 	if percent > r.percent || r.moved.IsZero() {
--- a/worker/order.go
+++ b/worker/order.go
@@ -97,7 +97,7 @@
 		g.send(now, have)
 	default:
 		if fenced {
-			g.raise()
+			g.Fenced(now, 0, have.token)
 		}
 		g.finish(now, r.Task, work.Refused, reason)
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -40,12 +40,14 @@
 
 // Config bounds a Guard.
 type Config struct {
-	Lease     time.Duration // of the worker's runs; renewed with every look
-	Contact   time.Duration // how long an entry may be silent before its runs are stopped
-	OrderLife time.Duration // oldest echo with which an order is taken
-	Forget    time.Duration // how long events of a silent entry are kept
-	Silence   time.Duration // time without an answered look after which the worker gets no task
-	IdleAge   time.Duration // least time without progress after which a run counts as idle
+	Lease time.Duration // of the worker's runs; renewed with every look
+	// LongestLease is what the worker grants whatever is asked for.
+	LongestLease time.Duration
+	Contact      time.Duration // how long an entry may be silent before its runs are stopped
+	OrderLife    time.Duration // oldest echo with which an order is taken
+	Forget       time.Duration // how long events of a silent entry are kept
+	Silence      time.Duration // time without an answered look after which the worker gets no task
+	IdleAge      time.Duration // least time without progress after which a run counts as idle
 }
 
 // phase is where a run stands.
@@ -53,7 +55,7 @@
 
 const (
 	ordered  phase = iota // sent, not answered
-	unclear               // no answer came; a higher token will tell
+	unclear               // whether it was begun is not known; a higher token will tell
 	running               // known to be at work
 	stopping              // to be stopped
 )
@@ -68,6 +70,7 @@
 	percent int       // of its work, at the last look
 	moved   time.Time // the look that showed the last progress
 	idle    bool      // looks have shown no progress for too long
+	reborn  bool      // the worker has started anew since it was ordered
 }
 
 // Guard is the state of an agent. NewGuard makes one.
@@ -80,6 +83,7 @@
 	looked   time.Time // last answered look
 	settled  bool      // nothing runs that this Guard did not order
 	token    uint64
+	leap     uint64 // by which the token rose after the last refusal in a row
 	acked    uint64 // highest token that the worker acknowledged
 	seen     uint64 // last end that was taken note of
 	clock    time.Duration
@@ -119,7 +123,7 @@
 	if g.known && t.Born != 0 && g.target.Born != 0 && t.Born < g.target.Born {
 		return // delayed; from an earlier life
 	}
-	g.newLife(now, t.Born)
+	g.newLife(now, t.Born, clock)
 	if t.Born == 0 {
 		t.Born = g.target.Born
 	}
@@ -133,21 +137,29 @@
 // Leave takes the worker's word that it ends now.
 func (g *Guard) Leave() { g.leaving = true }
 
-// newLife ends all runs if the worker has started anew.
-func (g *Guard) newLife(now time.Time, born int64) {
+// newLife notes that the worker has started anew. The runs of its earlier life
+// have ended. But an order that was on its way may have been carried out by the
+// new life, so each run is unclear until a look with a higher token shows it or
+// not. Tokens go on from where they were, as such an order brings its own.
+func (g *Guard) newLife(now time.Time, born int64, clock time.Duration) {
 	if born == 0 || g.target.Born == 0 || born <= g.target.Born {
 		if g.target.Born == 0 {
 			g.target.Born = born
 		}
 		return
 	}
-	for _, ref := range g.refs() {
-		g.finish(now, ref, work.Lapsed, "worker started anew")
-	}
 	g.target.Born = born
-	g.token, g.acked, g.seen, g.clock, g.until = 0, 0, 0, 0, 0
+	g.acked, g.seen, g.clock, g.until = 0, 0, 0, 0
+	g.readClock(now, clock)
+	if len(g.runs) > 0 {
+		g.until = g.clock + max(g.cfg.LongestLease, g.cfg.Lease) // that an order may have brought
+	}
+	for _, r := range g.runs {
+		r.phase, r.reborn = unclear, true
+	}
+	g.raise()
 	g.pace = Pace{}
-	g.settled = true
+	g.settled = false // until a look shows it
 }
 
 func (g *Guard) readClock(now time.Time, clock time.Duration) {
@@ -161,6 +173,16 @@
 	g.token = max(g.token+1, uint64(g.clock.Milliseconds())+1)
 }
 
+// Unclear reports whether it is not known of some run whether it was begun.
+func (g *Guard) Unclear() bool {
+	for _, r := range g.runs {
+		if r.phase == unclear {
+			return true
+		}
+	}
+	return false
+}
+
 // Until returns the end of the lease for an order that is sent now.
 func (g *Guard) Until(now time.Time) time.Duration {
 	if g.clock == 0 {
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -10,7 +10,7 @@
 
 var cfg = worker.Config{
 	Lease: 800 * time.Millisecond, Contact: 450 * time.Millisecond, OrderLife: 400 * time.Millisecond,
-	Forget: 30 * time.Second, Silence: 250 * time.Millisecond, IdleAge: 150 * time.Millisecond,
+	LongestLease: time.Second, Forget: 30 * time.Second, Silence: 250 * time.Millisecond, IdleAge: 150 * time.Millisecond,
 }
 
 // desk plays a worker and an entry around a Guard.
@@ -178,6 +178,10 @@
 	d.order(start(0, 1, 10))
 	d.g.Started(d.now, run(0, 1), "", false)
 	d.born, d.clock = 8, time.Second
+	d.look(0) // asked with a token that an order on its way may have, too
+	if n := len(d.g.Events("e1", 0)); n != 0 {
+		t.Fatal("given up although the new life may yet get the order")
+	}
 	d.look(0)
 	d.told(work.Lapsed)
 	d.report(false)
@@ -186,6 +190,55 @@
 	}
 }
 
+// TestOrderThatReachedANewLifeIsNotGivenUp: the worker started anew while the
+// order was on its way, and carried it out.
+func TestOrderThatReachedANewLifeIsNotGivenUp(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		d := newDesk(t)
+		d.order(start(0, 1, 10))
+		if answered {
+			d.g.Started(d.now, run(0, 1), "", false)
+		}
+		d.born, d.clock = 8, time.Second
+		d.report(false)
+		d.look(10, run(0, 1))
+		d.look(20, run(0, 1))
+		if n := len(d.g.Events("e1", 0)); n != 0 || d.g.Running() != 1 {
+			t.Errorf("answered %t: %d events, %d runs", answered, n, d.g.Running())
+		}
+	}
+}
+
+// TestTokensRiseOverLivesOfTheWorker: a new life may have got an order with a
+// token of the earlier one.
+func TestTokensRiseOverLivesOfTheWorker(t *testing.T) {
+	d := newDesk(t)
+	before := d.g.Token()
+	d.born, d.clock = 8, time.Second
+	d.report(false)
+	if after := d.g.Token(); after <= before {
+		t.Errorf("token %d after %d", after, before)
+	}
+}
+
+// TestTokenCatchesUp: an agent that started anew does not know the highest token
+// that its worker has seen, which may be that of a long earlier life.
+func TestTokenCatchesUp(t *testing.T) {
+	d := newDesk(t)
+	const seen = 3_600_000
+	for tries := 0; d.g.Token() <= seen; tries++ {
+		asked := d.g.Token()
+		d.g.Fenced(d.now, d.clock, asked)
+		d.g.Fenced(d.now, d.clock, asked) // of another look, asked at the same time
+		if tries > 30 {
+			t.Fatalf("token %d after %d refusals", d.g.Token(), tries)
+		}
+	}
+	if d.g.Token() > 4*seen {
+		t.Errorf("token %d is far above %d", d.g.Token(), seen)
+	}
+}
+
 // TestAgentThatStartedAnewStopsWhatItDoesNotKnow: its tokens are higher than
 // those of its former life, and it is not settled before those runs are gone.
 func TestAgentThatStartedAnewStopsWhatItDoesNotKnow(t *testing.T) {
