Tell slow workers by the progress of their runs

Slowness was learned from ends only, and those come late there: tasks expected to take 20 to 40 ms took 190 to 440, and new ones went there again and again.

Change: homes tell agents how long a run should take, agents tell which runs will take over 2.5 times as long as their progress shows, and a home counts a worker as slow when runs of two jobs say so against those that end as expected. It gets what is in time there, and runs that would be late are moved to workers with room. After 1.5 s without a sign it is tried again.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -151,6 +151,7 @@
 	agent    string
 	began    time.Time
 	expected time.Duration
+	drag     float64 // of the worker when the task was placed
 	stopping bool
 }
 
@@ -365,6 +366,7 @@
 	}
 	c.loseAgents(now)
 	c.stopStalled(now)
+	c.endDrag(now)
 	c.shed(now)
 	c.place(now)
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -38,6 +38,7 @@
 	}
 	switch e.End {
 	case work.Done:
+		t.sound.add(now, e.Took, tk.expected)
 		c.learn(t, j, step, e.Took)
 		c.finish(j, step, index)
 	case work.Failed:
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -248,6 +248,7 @@
 	st := &j.Steps[step]
 	tk := &j.tasks[step][index]
 	tk.state, tk.run, tk.agent, tk.began = placed, number, t.agent, now
+	tk.drag = t.drag
 	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * c.distance(st, t))
 	j.pending--
 	c.queued--
@@ -262,5 +263,5 @@
 		c.out.Starts = make(map[string][]work.Start)
 	}
 	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
-	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here})
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected})
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -17,6 +17,14 @@
 	Pace    Pace      // as the agent has seen it; told at the first contact
 	Events  []Event
 	Idle    []work.Run // runs that are not young and have made no progress
+	Slow    []Projection
+}
+
+// Projection is how long a run will take at least, as its progress tells. Only
+// runs are told that will take far longer than expected.
+type Projection struct {
+	Run  work.Run
+	Took time.Duration // from its order on
 }
 
 // Pace is how long a worker's runs take against their estimates.
@@ -42,7 +50,7 @@
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
-		t = &target{agent: agent, life: r.Life, factor: 1, runs: make(map[work.TaskRef]work.Run)}
+		t = &target{agent: agent, life: r.Life, factor: 1, drag: 1, runs: make(map[work.TaskRef]work.Run)}
 		c.settle = now.Add(settleTime)
 		c.targets[agent] = t
 		c.names = append(c.names, agent)
@@ -57,6 +65,7 @@
 		t.life, t.seq = r.Life, 0
 	}
 	if t.Born != r.Target.Born {
+		t.drag = 1
 		t.slow, t.streak = mean{n: min(r.Pace.Runs, speedWindow), value: r.Pace.Log}, 0
 		t.judge()
 	}
@@ -69,6 +78,7 @@
 		}
 	}
 	c.observe(now, t, r.Idle)
+	c.observeSlow(now, t, r.Slow)
 	if more || len(r.Events) > 0 {
 		c.place(now)
 	}
--- /dev/null
+++ b/schedule/slow.go
@@ -0,0 +1,138 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// What answers workers that turn slow under load. Ends tell it late, since runs
+// there take long: until the first of them end, a worker's slots fill with tasks
+// again and again. Progress tells it after some tens of milliseconds.
+
+// A worker counts as slow when runs of slowJobs jobs go slowly there, and these
+// are at least half of its runs that are not young and of those that ended as
+// expected a moment ago; without the latter, what is left of runs would be those
+// with wrong estimates. One job proves nothing: the estimates of its tasks are
+// wrong together.
+const (
+	slowJobs = 2
+	slowRun  = 2.5                    // times as long as expected; as agents tell runs
+	youngRun = 60 * time.Millisecond  // within it a slow run may not have been seen as such
+	aMoment  = 200 * time.Millisecond // about the time of a task
+)
+
+// soundEnds are the times at which runs ended about as expected, a moment ago.
+type soundEnds []time.Time
+
+func (s *soundEnds) add(now time.Time, took, expected time.Duration) {
+	if float64(took) <= slowRun*float64(expected) {
+		s.drop(now)
+		*s = append(*s, now)
+	}
+}
+
+// drop forgets what is older than a moment, and returns how many are left.
+func (s *soundEnds) drop(now time.Time) int {
+	*s = slices.DeleteFunc(*s, func(at time.Time) bool { return now.Sub(at) > aMoment })
+	return len(*s)
+}
+
+// dragLasts is how long after the last sign a worker counts as slow. Then a few
+// tasks find out.
+const dragLasts = 1500 * time.Millisecond
+
+// observeSlow takes the projections of runs that go far slower than expected.
+func (c *Core) observeSlow(now time.Time, t *target, slow []Projection) {
+	jobs := make(map[string]bool)
+	sum, n := 0.0, 0
+	for _, p := range slow {
+		if tk := c.placedTask(t, p.Run); tk != nil && tk.expected > 0 {
+			jobs[p.Run.Task.Job] = true
+			sum += math.Log(float64(p.Took) / float64(tk.expected) * tk.drag)
+			n++
+		}
+	}
+	if len(jobs) < slowJobs || 2*n < c.grown(now, t)+t.sound.drop(now) {
+		return
+	}
+	drag := math.Exp(sum / float64(n))
+	if t.drag == 1 {
+		c.note(Note{Agent: t.agent, What: "workerSlow", Why: "runs of several jobs go slower than expected",
+			Values: map[string]float64{"times": drag, "slowRuns": float64(n), "runs": float64(len(t.runs))}})
+	}
+	t.drag, t.dragAt = max(drag, 1), now
+	for _, p := range slow {
+		c.move(now, t, p)
+	}
+}
+
+// placedTask returns the task of a run that is at work on a worker, or nil.
+func (c *Core) placedTask(t *target, r work.Run) *task {
+	have, ok := t.runs[r.Task]
+	j := c.jobs[r.Task.Job]
+	if !ok || have != r || j == nil {
+		return nil
+	}
+	return &j.tasks[r.Task.Step][r.Task.Index]
+}
+
+// grown returns how many runs on a worker are not young.
+func (c *Core) grown(now time.Time, t *target) (n int) {
+	for ref, r := range t.runs {
+		if tk := c.placedTask(t, r); tk != nil && ref == r.Task && now.Sub(tk.began) > youngRun {
+			n++
+		}
+	}
+	return n
+}
+
+// stopCost is what it costs to move a run: the worker takes up to 50 ms to stop
+// it, and messages go to and fro.
+const stopCost = 60 * time.Millisecond
+
+// move stops a run on a slow worker that would miss the objective there and end
+// clearly sooner on another worker with room.
+func (c *Core) move(now time.Time, t *target, p Projection) {
+	tk := c.placedTask(t, p.Run)
+	j := c.jobs[p.Run.Task.Job]
+	if tk == nil || tk.stopping || j.over {
+		return
+	}
+	left := tk.began.Add(p.Took).Sub(now)
+	if !now.Add(left).After(j.objective) {
+		return
+	}
+	step := &j.Steps[p.Run.Task.Step]
+	if step.Gang {
+		return // its other members would end, too
+	}
+	nominal := c.expect(j, p.Run.Task.Step)
+	for _, o := range c.open(now) {
+		there := stopCost + time.Duration(float64(nominal)*o.slowness()*c.distance(step, o))
+		if o == t || !c.suits(j, p.Run.Task.Step, o) || !o.free().Holds(step.Room) || moveGain*there > left {
+			continue
+		}
+		c.note(Note{Job: j.ID, Agent: t.agent, Run: p.Run, What: "runMoved", Why: "its worker is slow",
+			Values: map[string]float64{"leftMs": ms(left), "thereMs": ms(there), "ranMs": ms(now.Sub(tk.began))}})
+		j.shun(t.agent)
+		c.stop(j, p.Run.Task.Step, p.Run.Task.Index)
+		return
+	}
+}
+
+// moveGain is how many times as long a run has to go on as it would take
+// elsewhere, stop included, to be moved.
+const moveGain = 2
+
+// endDrag lets workers count as usual of whose slowness nothing was seen for
+// long.
+func (c *Core) endDrag(now time.Time) {
+	for _, name := range c.names {
+		if t := c.targets[name]; t.drag > 1 && now.Sub(t.dragAt) > dragLasts {
+			t.drag = 1
+		}
+	}
+}
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -24,7 +24,7 @@
 
 // slowness returns how much longer than on a worker of speed 1 a run takes. A
 // worker of which little is known counts like the others of its kind.
-func (t *target) slowness() float64 { return t.factor }
+func (t *target) slowness() float64 { return t.factor * t.drag }
 
 // judge computes the slowness from what is known.
 func (t *target) judge() {
@@ -58,14 +58,15 @@
 // priorsEvery is the pause between updates of the means of kinds.
 const priorsEvery = 100 * time.Millisecond
 
-// learn takes the run time of a task that was done.
+// learn takes the run time of a task that was done. What a worker is slower than
+// usual for now is not learned as its speed.
 func (c *Core) learn(t *target, j *job, step int, took time.Duration) {
 	t.streak = 0
 	est := j.Steps[step].Estimate
 	if est <= 0 || took <= 0 {
 		return
 	}
-	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t))
+	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t) / t.drag)
 	b := c.queueBias(j.Queue.Name)
 	t.slow.add(ratio-b.value, speedWindow)
 	t.judge()
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -22,6 +22,9 @@
 	factor float64   // slowness, computed from slow and prior
 	prior  float64   // mean of slow over the workers of its kind
 	slow   mean      // log of run time over expected time on a worker of speed 1
+	drag   float64   // how many times as slow as usual it is; 1 if it is not
+	dragAt time.Time // when that was seen last
+	sound  soundEnds // what speaks against that
 	streak int       // failures in a row
 	resume time.Time // no placement before
 }
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -67,6 +67,9 @@
 		Life: a.life, Target: t, Ready: serves && !a.leaving && !a.guard.Silent(),
 		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home),
 	}
+	for _, p := range a.guard.Slow(home) {
+		r.Slow = append(r.Slow, schedule.Projection(p))
+	}
 	r.Pace = schedule.Pace(a.guard.Pace())
 	for _, e := range a.guard.Events(home, acked) {
 		r.Events = append(r.Events, event(e))
--- a/work/work.go
+++ b/work/work.go
@@ -197,6 +197,7 @@
 	Spec       string
 	Room       Room
 	Estimate   time.Duration // on a worker of slowness 1 at this distance from the data
+	Expected   time.Duration // on the worker that it goes to; 0 if unknown
 	Checkpoint string        // where to resume; empty for the beginning
 }
 
--- a/worker/look.go
+++ b/worker/look.go
@@ -120,9 +120,46 @@
 	if percent > r.percent || r.moved.IsZero() {
 		r.percent, r.moved = percent, now
 	}
+	r.slow = 0
+	if took := r.project(now); r.start.Expected > 0 && float64(took) > slowTimes*float64(r.start.Expected) {
+		r.slow = took
+	}
 	r.idle = percent < 100 && now.Sub(r.moved) > max(g.cfg.IdleAge, r.start.Estimate/idlePart)
 }
 
+// project returns the least run time that the progress of a run lets expect.
+func (r *run) project(now time.Time) time.Duration {
+	elapsed := now.Sub(r.sent) - orderDelay
+	return elapsed * 100 / time.Duration(r.percent+1)
+}
+
+// orderDelay is the most that a sound worker takes from the order of a run to
+// its begin, and from an answer to its arrival.
+const orderDelay = 5 * time.Millisecond
+
+// slowTimes is how many times as long as expected a run has to take to be told
+// as slow. Estimates are off by 40%, which alone explains less in 99 of 100
+// runs.
+const slowTimes = 2.5
+
+// Projection is how long a run that goes slowly will take at least.
+type Projection struct {
+	Run  work.Run
+	Took time.Duration // from its order on
+}
+
+// Slow returns the runs of an entry that will take far longer than the entry
+// expects, as their progress tells.
+func (g *Guard) Slow(entry string) []Projection {
+	var slow []Projection
+	for _, ref := range g.refs() {
+		if r := g.runs[ref]; r.entry == entry && r.phase == running && r.slow > 0 {
+			slow = append(slow, Projection{Run: r.start.Run, Took: r.slow})
+		}
+	}
+	return slow
+}
+
 // idlePart is the part of its estimate that a run may be without progress; one
 // percent more is expected after a hundredth.
 const idlePart = 8
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -64,13 +64,14 @@
 	start   work.Start
 	entry   string
 	phase   phase
-	token   uint64    // with which it was sent last
-	sent    time.Time // first order
-	stopped time.Time // last stop order
-	percent int       // of its work, at the last look
-	moved   time.Time // the look that showed the last progress
-	idle    bool      // looks have shown no progress for too long
-	reborn  bool      // the worker has started anew since it was ordered
+	token   uint64        // with which it was sent last
+	sent    time.Time     // first order
+	stopped time.Time     // last stop order
+	percent int           // of its work, at the last look
+	moved   time.Time     // the look that showed the last progress
+	slow    time.Duration // least run time that its progress lets expect, if far above what was expected
+	idle    bool          // looks have shown no progress for too long
+	reborn  bool          // the worker has started anew since it was ordered
 }
 
 // Guard is the state of an agent. NewGuard makes one.
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -302,3 +302,23 @@
 		t.Error("not idle without progress")
 	}
 }
+
+// TestSlowRunsAreToldByTheirProgress: long before they end.
+func TestSlowRunsAreToldByTheirProgress(t *testing.T) {
+	d := newDesk(t)
+	s := start(0, 1, 10)
+	s.Expected = 200 * time.Millisecond
+	d.order(s)
+	d.g.Started(d.now, run(0, 1), "", false)
+	d.pass(10 * time.Millisecond)
+	d.look(5, run(0, 1))
+	if slow := d.g.Slow("e1"); len(slow) != 0 {
+		t.Fatalf("slow at the speed that was expected: %+v", slow)
+	}
+	d.pass(90 * time.Millisecond)
+	d.look(7, run(0, 1))
+	slow := d.g.Slow("e1")
+	if len(slow) != 1 || slow[0].Run != run(0, 1) || slow[0].Took < time.Second || slow[0].Took > 1500*time.Millisecond {
+		t.Errorf("slow %+v", slow)
+	}
+}
