Answer all open requests before a planned stop ends

Cause: two of three entries of the data centre were stopping. The balancer uses all entries of a data centre when fewer than half are in rotation, so new callers came to the leaving one to its end, and its stop waited for a moment without open requests. After 5.6 s it cut what was open, a job that had come milliseconds before.

Change: 3 s after the begin of a stop the listener for callers is closed; 0.3 s before its end open requests are answered as far as they have got: as rejected only if nothing was handed over.

Ruled out: the home (its jobs of other entries went on) and long tasks (the job was one of 200 ms).

--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// TestEntryThatLeavesAnswersAll: the balancer goes on to send callers to an entry
+// that stops, as it does when too few others of its data centre are left. None
+// of them may lose its connection without an answer.
+func TestEntryThatLeavesAnswersAll(t *testing.T) {
+	onFleet(t, func(t *testing.T, s *fleet) {
+		leaving := (s.home() + 1) % fleetEntries
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 5600*time.Millisecond)
+			defer cancel()
+			if err := s.entry(leaving).Stop(ctx); err != nil {
+				t.Errorf("planned stop: %v", err)
+			}
+			s.startEntry(leaving)
+		}()
+		s.load(8*time.Second, 0, 1, 2)
+		<-stopped
+		if s.broken > 0 {
+			t.Errorf("%d requests lost their connection without an answer", s.broken)
+		}
+	})
+}
+
 // wantOneHome checks that the entries agree again some time after the fault.
 func (s *fleet) wantOneHome() {
 	s.t.Helper()
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -9,10 +9,12 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"masticbay/clock"
@@ -64,6 +66,7 @@
 	replies map[string]standin.Reply
 	left    [fleetEntries]bool // entries out of the balancer's rotation
 	lost    int                // requests without an answer
+	broken  int                // of them those whose connection was taken and ended
 }
 
 // onFleet runs f in a bubble on a fleet that has found itself, and judges it.
@@ -216,6 +219,9 @@
 			return
 		}
 		s.lost++
+		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+			s.broken++
+		}
 		s.mu.Unlock()
 		time.Sleep(1300 * time.Millisecond)
 	}
--- a/site/entry.go
+++ b/site/entry.go
@@ -33,24 +33,27 @@
 
 // Entry is the daemon that serves callers. StartEntry makes one.
 type Entry struct {
-	node     *platform.Node
-	log      zerolog.Logger
-	requests zerolog.Logger // lines of single requests; bounded
-	clock    clock.Clock
-	life     string
-	store    *platform.Store
-	rpc      *wire.Server
-	front    *http.Server
-	ready    *http.Server
-	meter    *http.Server
-	metrics  *entryMetrics
-	network  wire.Network
-	stop     chan struct{}
-	home     *home
-	known    entryList
-	config   atomic.Pointer[platform.Config]
-	leaving  atomic.Bool
-	open     atomic.Int64 // requests of callers that are not answered
+	node      *platform.Node
+	log       zerolog.Logger
+	requests  zerolog.Logger // lines of single requests; bounded
+	clock     clock.Clock
+	life      string
+	store     *platform.Store
+	rpc       *wire.Server
+	front     *http.Server
+	callers   net.Listener // of front
+	ready     *http.Server
+	meter     *http.Server
+	metrics   *entryMetrics
+	network   wire.Network
+	stop      chan struct{}
+	home      *home
+	known     entryList
+	config    atomic.Pointer[platform.Config]
+	leaving   atomic.Bool
+	ending    context.Context // over when open requests have to be answered at once
+	answerAll context.CancelCauseFunc
+	open      atomic.Int64 // requests of callers that are not answered
 
 	mu       sync.Mutex // guards what follows
 	roster   *roster.Roster
@@ -74,6 +77,7 @@
 		sessions: make(map[string]uint64), jobs: make(map[string]int),
 	}
 	e.requests = bounded(e.log)
+	e.ending, e.answerAll = context.WithCancelCause(context.Background())
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
 	e.home = newHome(e)
@@ -98,6 +102,7 @@
 	if err != nil {
 		return err
 	}
+	e.callers = lns[1]
 	e.front = &http.Server{Handler: http.HandlerFunc(e.serveCaller), ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdle}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, e.serveReady)
@@ -137,8 +142,13 @@
 	frontHeaderTimeout = 3 * time.Second // for the header of a request once its first byte came
 	frontIdle          = 60 * time.Second
 	noticeStop         = 2300 * time.Millisecond // the balancer asks once a second and acts after two misses
+	takeCallers        = 3 * time.Second         // from the begin of a stop; leaves most jobs time to end
+	lastAnswers        = 300 * time.Millisecond  // before the end of a stop: to write the last answers
 )
 
+// errStops is why open requests are answered before their jobs have ended.
+const errStops = errors.ConstError("the entry stops")
+
 // Done returns a channel that is never closed: an entry ends only when it is
 // stopped.
 func (e *Entry) Done() <-chan struct{} { return nil }
@@ -148,8 +158,11 @@
 func (e *Entry) Reload(n *platform.Node) { e.known.add(n.Entries...) }
 
 // Stop lets the balancer notice, hands the part of the home over, and serves
-// what is open until ctx ends.
+// what is open until shortly before ctx ends. The balancer may go on to send
+// callers when few entries are left, so no new ones are taken after a while, and
+// what is open in the end is answered as far as it has got.
 func (e *Entry) Stop(ctx context.Context) error {
+	begun := e.now()
 	e.leaving.Store(true)
 	e.mu.Lock()
 	e.roster.Leave()
@@ -158,8 +171,17 @@
 	e.greetAll()
 	sleep(ctx, noticeStop)
 	e.front.SetKeepAlivesEnabled(false)
-	for ctx.Err() == nil && (e.open.Load() > 0 || e.home.busy()) {
-		sleep(ctx, stopPoll)
+	if end, ok := ctx.Deadline(); ok {
+		last := time.AfterFunc(time.Until(end)-lastAnswers, func() { e.answerAll(errStops) })
+		defer last.Stop()
+	}
+	for taking := true; ctx.Err() == nil && (e.open.Load() > 0 || e.home.busy()); sleep(ctx, stopPoll) {
+		if taking && e.now().Sub(begun) > takeCallers {
+			taking = false
+			if err := e.callers.Close(); err != nil {
+				e.log.Warn().Err(err).Msg("listener for callers not closed")
+			}
+		}
 	}
 	e.log.Info().Int64("open", e.open.Load()).Msg("entry stopped")
 	err := e.front.Shutdown(ctx)
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -19,7 +19,7 @@
 	for {
 		home, ok := e.awaitHome(ctx)
 		if !ok {
-			return e.noHome(ctx, sent)
+			return noHome(sent)
 		}
 		now := e.now()
 		j.Age = now.Sub(begun)
@@ -33,7 +33,7 @@
 			sleep(ctx, homePoll)
 			continue
 		case ctx.Err() != nil:
-			return work.Outcome{State: work.Unknown, Reason: "the caller's time is over"}
+			return work.Outcome{State: work.Unknown, Reason: givenUp(ctx)}
 		case errors.Is(err, wire.ErrNotSent):
 			e.requests.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
 			e.loseHome(home)
@@ -79,13 +79,21 @@
 }
 
 // noHome is the outcome of a job when there is no home.
-func (e *Entry) noHome(ctx context.Context, sent bool) work.Outcome {
-	if sent || ctx.Err() != nil {
+func noHome(sent bool) work.Outcome {
+	if sent {
 		return work.Outcome{State: work.Unknown, Reason: "no entry acts as home"}
 	}
 	return work.Outcome{State: work.Rejected, Reason: "no entry acts as home", RetryAfter: time.Second}
 }
 
+// givenUp tells why the wait for a job is over.
+func givenUp(ctx context.Context) string {
+	if cause := context.Cause(ctx); cause != context.Canceled {
+		return cause.Error()
+	}
+	return "the caller has gone"
+}
+
 // loseHome makes the roster look for another home at once.
 func (e *Entry) loseHome(m roster.Member) {
 	e.mu.Lock()
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"masticbay/platform"
 	"masticbay/work"
 )
@@ -62,6 +64,9 @@
 	}
 }
 
+// errTimeOver is why a job is given up whose caller waits no longer.
+const errTimeOver = errors.ConstError("the caller's time is over")
+
 // callerWaits is how long a caller waits that does not say.
 const callerWaits = 10 * time.Second
 
@@ -92,8 +97,8 @@
 		return
 	}
 	s.Job.Left = platform.CallerWaits(r, callerWaits)
-	ctx, cancel := context.WithTimeout(r.Context(), s.Job.Left)
-	defer cancel()
+	ctx, release := e.waitFor(r.Context(), s.Job.Left)
+	defer release()
 	out := e.run(ctx, s.Job, begun)
 	took := e.now().Sub(begun)
 	e.metrics.answered(out.State, took)
@@ -104,3 +109,16 @@
 	}
 	e.check(platform.WriteOutcome(w, out))
 }
+
+// waitFor returns a context that ends when the caller has gone or waits no
+// longer, or when this entry has to answer at once.
+func (e *Entry) waitFor(ctx context.Context, left time.Duration) (_ context.Context, release func()) {
+	ctx, cancel := context.WithTimeoutCause(ctx, left, errTimeOver)
+	ctx, end := context.WithCancelCause(ctx)
+	forget := context.AfterFunc(e.ending, func() { end(context.Cause(e.ending)) })
+	return ctx, func() {
+		forget()
+		end(nil)
+		cancel()
+	}
+}
--- a/site/home.go
+++ b/site/home.go
@@ -121,7 +121,7 @@
 		return out, false
 	case <-ctx.Done():
 		h.leave(args.Job.ID, func(o *waiter) bool { return o == w })
-		return work.Outcome{State: work.Unknown, Reason: "the caller's time is over"}, false
+		return work.Outcome{State: work.Unknown, Reason: givenUp(ctx)}, false
 	}
 }
 
