Replay load patterns against the decisions of a home in virtual time

Eight patterns (calm, burst, slow, failing, stalled, crash, drain, worst) name workers, queues and what happens; masticbay site replay writes a table and a plot of each, and TestPatterns bounds their worth by the users' targets. What an agent tells a home is made in one place now (schedule.ReportOf).

--- /dev/null
+++ b/bench/pattern.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"embed"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"masticbay/work"
+)
+
+// Pattern is a load on the workers of a service, and what happens to them
+// meanwhile. It is replayed against the decisions of one home and its agents.
+type Pattern struct {
+	Name    string          `toml:"name"`
+	Answers string          `toml:"answers"` // what the home does about it
+	Seconds float64         `toml:"seconds"` // how long jobs are submitted
+	Seed    uint64          `toml:"seed"`
+	Workers []PatternWorker `toml:"workers"`
+	Queues  []PatternQueue  `toml:"queues"`
+	Events  []PatternEvent  `toml:"events"`
+}
+
+// PatternWorker is a number of equal workers.
+type PatternWorker struct {
+	Count    int      `toml:"count"`
+	CPU      int      `toml:"cpu"`      // thousandths of cores
+	Slowness float64  `toml:"slowness"` // run time over that on a worker of speed 1
+	Labels   []string `toml:"labels"`
+}
+
+// PatternQueue is a kind of job.
+type PatternQueue struct {
+	Name        string  `toml:"name"`
+	Priority    int     `toml:"priority"`
+	MaxAttempts int     `toml:"maxAttempts"`
+	Stretch     float64 `toml:"stretch"`
+	TargetMs    float64 `toml:"targetMs"`
+	PerSecond   float64 `toml:"perSecond"`
+	Tasks       float64 `toml:"tasks"` // mean
+	CPU         float64 `toml:"cpu"`   // of a task, mean; thousandths of cores
+	WorkMs      float64 `toml:"workMs"`
+	Worth       float64 `toml:"worth"`
+	DeadlineMs  float64 `toml:"deadlineMs"`
+}
+
+// The spread of a pattern's jobs, as the logarithm's standard deviation. They are
+// those of the users' sites.
+const (
+	workSpread     = 0.4
+	tasksSpread    = 0.4
+	cpuSpread      = 0.2
+	estimateSpread = 0.4
+	taskSpread     = 0.15 // among the tasks of one job
+)
+
+// The kinds of a PatternEvent.
+const (
+	EventBurst = "burst" // times as many jobs, of a queue or of all
+	EventSlow  = "slow"  // workers take times as long
+	EventFail  = "fail"  // workers fail all that they start
+	EventStall = "stall" // runs on workers make no progress
+	EventCrash = "crash" // workers end and are back after the time
+	EventDrain = "drain" // workers take nothing new
+)
+
+// PatternEvent is what happens for a while.
+type PatternEvent struct {
+	Kind    string  `toml:"kind"`
+	At      float64 `toml:"at"`      // seconds
+	For     float64 `toml:"for"`     // seconds
+	Times   float64 `toml:"times"`   // of EventBurst and EventSlow
+	Queue   string  `toml:"queue"`   // of EventBurst; all if empty
+	Workers []int   `toml:"workers"` // that it happens to, by number from 0
+}
+
+var eventKinds = []string{EventBurst, EventSlow, EventFail, EventStall, EventCrash, EventDrain}
+
+//go:embed patterns/*.toml
+var patternFiles embed.FS
+
+// Patterns returns the names of the embedded patterns.
+func Patterns() (names []string, err error) {
+	files, err := patternFiles.ReadDir("patterns")
+	for _, f := range files {
+		names = append(names, f.Name())
+	}
+	return names, errors.Annotate(err, "listing the patterns")
+}
+
+// EmbeddedPattern returns one of the embedded patterns.
+func EmbeddedPattern(file string) (*Pattern, error) {
+	raw, err := patternFiles.ReadFile("patterns/" + file)
+	if err != nil {
+		return nil, errors.NotFoundf("pattern %q", file)
+	}
+	return DecodePattern(raw)
+}
+
+// DecodePattern decodes and checks a pattern.
+func DecodePattern(raw []byte) (p *Pattern, err error) {
+	defer func() { err = errors.Annotate(err, "reading a load pattern") }()
+	p = new(Pattern)
+	if err := toml.Unmarshal(raw, p); err != nil {
+		return nil, err
+	}
+	return p, p.check()
+}
+
+func (p *Pattern) check() error {
+	if p.Seconds <= 0 || p.workers() == 0 || len(p.Queues) == 0 {
+		return errors.NotValidf("pattern without seconds, workers or queues")
+	}
+	for _, w := range p.Workers {
+		if w.CPU <= 0 || w.Slowness <= 0 {
+			return errors.NotValidf("workers of cpu %d, slowness %g", w.CPU, w.Slowness)
+		}
+	}
+	for _, q := range p.Queues {
+		if q.Name == "" || q.PerSecond <= 0 || q.Tasks < 1 || q.WorkMs <= 0 || q.CPU <= 0 {
+			return errors.NotValidf("queue %q of %g jobs a second, %g tasks, %g ms", q.Name, q.PerSecond, q.Tasks, q.WorkMs)
+		}
+	}
+	for _, e := range p.Events {
+		if !slices.Contains(eventKinds, e.Kind) {
+			return errors.NotValidf("event of kind %q", e.Kind)
+		}
+		for _, w := range e.Workers {
+			if w < 0 || w >= p.workers() {
+				return errors.NotValidf("event %s of worker %d", e.Kind, w)
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Pattern) workers() (n int) {
+	for _, w := range p.Workers {
+		n += w.Count
+	}
+	return n
+}
+
+func (q *PatternQueue) queue() work.Queue {
+	return work.Queue{
+		Name: q.Name, Service: patternService, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch,
+		Target: millis(q.TargetMs),
+	}
+}
+
+const patternService = "service"
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/command/site.go
+++ b/command/site.go
@@ -29,6 +29,7 @@
 			{Name: "entry", Usage: "serves callers", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteEntry},
 			{Name: "agent", Usage: "runs tasks on the worker of this VM", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteAgent},
 			siteDemoCommand(),
+			siteReplayCommand(),
 		},
 	}
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // Report is what an agent tells about itself and its worker.
@@ -27,6 +28,24 @@
 	Took time.Duration // from its order on
 }
 
+// ReportOf returns what the guard of a worker has to tell a home, but for the
+// incarnation of the agent.
+func ReportOf(g *worker.Guard, home string, acked uint64) Report {
+	t, serves := g.Target()
+	_, others := g.Used(home)
+	r := Report{
+		Target: t, Ready: serves && !g.Silent(), Settled: g.Settled(), Others: others,
+		Pace: Pace(g.Pace()), Idle: g.Idle(home),
+	}
+	for _, p := range g.Slow(home) {
+		r.Slow = append(r.Slow, Projection(p))
+	}
+	for _, e := range g.Events(home, acked) {
+		r.Events = append(r.Events, Event(e))
+	}
+	return r
+}
+
 // Pace is how long a worker's runs take against their estimates.
 type Pace struct {
 	Runs int
--- a/site/agent.go
+++ b/site/agent.go
@@ -68,7 +68,7 @@
 		node: o.Node, log: o.Log, perRun: bounded(o.Log), clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
-		guard: worker.NewGuard(guardConfig(o.Node)), news: make(chan struct{}), taken: make(map[string]uint64),
+		guard: worker.NewGuard(GuardConfig(o.Node)), news: make(chan struct{}), taken: make(map[string]uint64),
 	}
 	a.entries.add(o.Node.Entries...)
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -5,7 +5,6 @@
 
 	"masticbay/schedule"
 	"masticbay/work"
-	"masticbay/worker"
 )
 
 // agentMethods are what homes call.
@@ -61,22 +60,7 @@
 
 // reportFor returns what a home is told. The caller holds mu.
 func (a *Agent) reportFor(home string, acked uint64) schedule.Report {
-	t, serves := a.guard.Target()
-	_, others := a.guard.Used(home)
-	r := schedule.Report{
-		Life: a.life, Target: t, Ready: serves && !a.leaving && !a.guard.Silent(),
-		Settled: a.guard.Settled(), Others: others, Idle: a.guard.Idle(home),
-	}
-	for _, p := range a.guard.Slow(home) {
-		r.Slow = append(r.Slow, schedule.Projection(p))
-	}
-	r.Pace = schedule.Pace(a.guard.Pace())
-	for _, e := range a.guard.Events(home, acked) {
-		r.Events = append(r.Events, event(e))
-	}
+	r := schedule.ReportOf(a.guard, home, acked)
+	r.Life, r.Ready = a.life, r.Ready && !a.leaving
 	return r
 }
-
-func event(e worker.Event) schedule.Event {
-	return schedule.Event{Seq: e.Seq, Run: e.Run, End: e.End, Reason: e.Reason, Took: e.Took}
-}
--- a/site/home.go
+++ b/site/home.go
@@ -50,7 +50,7 @@
 
 func newHome(e *Entry) *home {
 	return &home{
-		e: e, log: e.requests, due: make(chan struct{}, 1), core: schedule.NewCore(coreConfig(e.node)),
+		e: e, log: e.requests, due: make(chan struct{}, 1), core: schedule.NewCore(HomeConfig(e.node)),
 		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]contact),
 	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -80,11 +80,13 @@
 	return log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
 }
 
-func guardConfig(n *platform.Node) worker.Config {
+// GuardConfig returns the limits by which an agent judges its worker.
+func GuardConfig(n *platform.Node) worker.Config {
 	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
 }
 
-func coreConfig(n *platform.Node) schedule.Config {
+// HomeConfig returns the limits by which a home places tasks.
+func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
 		Suspect: agentSuspect, Lost: agentLost, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
 		Remember: 4096, MaxQueued: 20000,
