--- a/command/config.go
+++ b/command/config.go
@@ -29,7 +29,7 @@
 			},
 			{
 				Name:      "reference",
-				Usage:     "prints every setting of a role: entry, agent, platform or target",
+				Usage:     "prints every setting of a role: entry, agent, site, platform or target",
 				ArgsUsage: "ROLE",
 				Action: func(_ context.Context, cmd *cli.Command) error {
 					return reference(os.Stdout, cmd.Args().First())
@@ -53,12 +53,14 @@
 		_, err = setting.Read[setting.Entry](path)
 	case "agent":
 		_, err = setting.Read[setting.Agent](path)
+	case "site":
+		_, err = setting.Read[setting.Site](path)
 	case "platform":
 		_, err = setting.Read[setting.Platform](path)
 	case "target":
 		_, err = setting.Read[setting.Target](path)
 	default:
-		return usagef("%s: role: %q is not allowed; want entry, agent, platform or target", path, role)
+		return usagef("%s: role: %q is not allowed; want entry, agent, site, platform or target", path, role)
 	}
 	if err != nil {
 		return err
@@ -73,10 +75,12 @@
 		return setting.Reference[setting.Entry](w)
 	case "agent":
 		return setting.Reference[setting.Agent](w)
+	case "site":
+		return setting.Reference[setting.Site](w)
 	case "platform":
 		return setting.Reference[setting.Platform](w)
 	case "target":
 		return setting.Reference[setting.Target](w)
 	}
-	return usagef("%q is not a role; want entry, agent, platform or target", role)
+	return usagef("%q is not a role; want entry, agent, site, platform or target", role)
 }
--- a/command/site.go
+++ b/command/site.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"masticbay/platform"
+	"masticbay/setting"
 	"masticbay/site"
 	"masticbay/telemetry"
 	"masticbay/web"
@@ -26,16 +27,54 @@
 		Name:  "site",
 		Usage: "runs a process of masticbay on the users' platform",
 		Commands: []*cli.Command{
-			{Name: "entry", Usage: "serves callers", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteEntry},
-			{Name: "agent", Usage: "runs tasks on the worker of this VM", Flags: []cli.Flag{siteListenFlag()}, Action: runSiteAgent},
+			{Name: "entry", Usage: "serves callers", Flags: []cli.Flag{siteConfigFlag()}, Action: runSiteEntry},
+			{Name: "agent", Usage: "runs tasks on the worker of this VM", Flags: []cli.Flag{siteConfigFlag()}, Action: runSiteAgent},
 			siteDemoCommand(),
 			siteReplayCommand(),
 		},
 	}
 }
 
-func siteListenFlag() cli.Flag {
-	return &cli.StringFlag{Name: "listen", Usage: "listen for masticbay's own processes at this `ADDRESS` and not at the announced one, behind address translation"}
+func siteConfigFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "`FILE` of the product's own settings; see masticbay config reference site"}
+}
+
+// siteProcess is what a process on the users' platform is made of.
+type siteProcess struct {
+	node *platform.Node
+	cfg  setting.Site
+	log  zerolog.Logger
+	end  func() // writes what is left of logs and traces
+}
+
+// prepareSite reads the platform's settings and the product's own, and sets up
+// logs and traces.
+func prepareSite(cmd *cli.Command, role string) (p *siteProcess, err error) {
+	p = &siteProcess{cfg: setting.Default[setting.Site]()}
+	if p.node, err = platform.ReadNode(); err != nil {
+		return nil, err
+	}
+	if file := cmd.String("config"); file != "" {
+		if p.cfg, err = setting.Read[setting.Site](file); err != nil {
+			return nil, err
+		}
+	}
+	web.AllowSlowStop(p.node.Grace)
+	stopTraces, err := telemetry.StartTraces(role, p.cfg.Traces, p.cfg.TraceRatio)
+	if err != nil {
+		return nil, err
+	}
+	log, flush := siteLog(role, p.cfg.LogLevel)
+	p.log = log
+	p.end = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+		defer cancel()
+		if err := stopTraces(ctx); err != nil {
+			log.Warn().Err(err).Msg("traces not written to the end")
+		}
+		flush()
+	}
+	return p, nil
 }
 
 // logRing is how many lines wait for standard output; when it is full, lines
@@ -44,27 +83,25 @@
 
 // siteLog returns a log to standard output that never blocks, and a function
 // that writes what is left.
-func siteLog(role string) (log zerolog.Logger, flush func()) {
+func siteLog(role, level string) (log zerolog.Logger, flush func()) {
 	w := diode.NewWriter(os.Stdout, logRing, 0, func(missed int) {
 		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", missed)
 	})
-	return telemetry.NewLog(w, "info", role), func() { _ = w.Close() }
+	return telemetry.NewLog(w, level, role), func() { _ = w.Close() }
 }
 
 func runSiteEntry(_ context.Context, cmd *cli.Command) error {
-	node, err := platform.ReadNode()
+	p, err := prepareSite(cmd, "entry")
 	if err != nil {
 		return err
 	}
-	web.AllowSlowStop(node.Grace)
-	log, flush := siteLog("entry")
-	defer flush()
-	e, err := site.StartEntry(site.EntryOptions{Node: node, Log: log, Listen: cmd.String("listen")})
+	defer p.end()
+	e, err := site.StartEntry(site.EntryOptions{Node: p.node, Log: p.log, Listen: p.cfg.Listen, RequestLines: p.cfg.RequestLines})
 	if err != nil {
 		return err
 	}
-	reloadOnHangup(e, log)
-	return serve(e, node.Grace-stopReserve)
+	reloadOnHangup(e, p.log)
+	return serve(e, p.node.Grace-stopReserve)
 }
 
 // reloader takes changed settings while it runs.
@@ -91,17 +128,15 @@
 }
 
 func runSiteAgent(_ context.Context, cmd *cli.Command) error {
-	node, err := platform.ReadNode()
+	p, err := prepareSite(cmd, "agent")
 	if err != nil {
 		return err
 	}
-	web.AllowSlowStop(node.Grace)
-	log, flush := siteLog("agent")
-	defer flush()
-	a, err := site.StartAgent(site.AgentOptions{Node: node, Log: log, Listen: cmd.String("listen")})
+	defer p.end()
+	a, err := site.StartAgent(site.AgentOptions{Node: p.node, Log: p.log, Listen: p.cfg.Listen, RequestLines: p.cfg.RequestLines})
 	if err != nil {
 		return err
 	}
-	reloadOnHangup(a, log)
-	return serve(a, node.Grace-stopReserve)
+	reloadOnHangup(a, p.log)
+	return serve(a, p.node.Grace-stopReserve)
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -263,5 +263,5 @@
 		c.out.Starts = make(map[string][]work.Start)
 	}
 	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
-	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected})
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected, Trace: j.Trace})
 }
--- a/setting/role.go
+++ b/setting/role.go
@@ -80,6 +80,17 @@
 	Policy      Policy   `toml:"policy"`
 }
 
+// Site are the product's own settings of a process on the users' platform, which
+// tells everything else in a file of its own.
+type Site struct {
+	Role         string  `toml:"role" default:"site" oneof:"site" doc:"kind of process that the file is for"`
+	Listen       string  `toml:"listen" format:"address" doc:"where masticbay's own processes reach this one behind address translation; empty for the announced address"`
+	LogLevel     string  `toml:"logLevel" default:"info" oneof:"debug info warn error" doc:"least level that is logged"`
+	RequestLines int     `toml:"requestLines" default:"400" min:"1" max:"100000" doc:"most lines a second about single jobs and runs; a home writes one for each job"`
+	Traces       string  `toml:"traces" default:"" doc:"where traces go: empty for nowhere, a file path, or an http:// URL of an OTLP collector"`
+	TraceRatio   float64 `toml:"traceRatio" default:"0.01" min:"0" max:"1" doc:"share of jobs that are traced"`
+}
+
 // Platform are the settings of the stand-in of the key-value service.
 type Platform struct {
 	Role     string `toml:"role" default:"platform" oneof:"platform" doc:"kind of process that the file is for"`
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -45,7 +45,7 @@
 
 // Role is one of the structs of settings.
 type Role interface {
-	Entry | Agent | Platform | Target
+	Entry | Agent | Site | Platform | Target
 }
 
 // Default returns the settings of a role with every default filled in.
--- a/site/agent.go
+++ b/site/agent.go
@@ -13,6 +13,7 @@
 	"masticbay/clock"
 	"masticbay/identity"
 	"masticbay/platform"
+	"masticbay/telemetry"
 	"masticbay/wire"
 	"masticbay/work"
 	"masticbay/worker"
@@ -26,6 +27,9 @@
 	// Listen is where other processes of the site reach this one, behind address
 	// translation; the announced address if empty.
 	Listen string
+	// RequestLines bounds the lines about single jobs and runs, a second; those of
+	// standard days of the small sites if zero.
+	RequestLines int
 	// Network is where the process is reached and reaches others; TCP if nil.
 	Network wire.Network
 }
@@ -65,7 +69,7 @@
 	}
 	dial := dialOf(o.Network)
 	a = &Agent{
-		node: o.Node, log: o.Log, perRun: bounded(o.Log), clock: o.Clock, life: identity.New("agent"),
+		node: o.Node, log: o.Log, perRun: bounded(o.Log, o.RequestLines), clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(GuardConfig(o.Node)), news: make(chan struct{}), taken: make(map[string]uint64),
@@ -191,7 +195,9 @@
 }
 
 func (a *Agent) startRun(o worker.Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, span := telemetry.Span(telemetry.Extract(context.Background(), o.Start.Trace), "agent → worker")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sent := a.now()
 	ans, err := a.worker.Start(ctx, o.Start, o.Until, o.Token)
--- a/site/entry.go
+++ b/site/entry.go
@@ -27,6 +27,9 @@
 	// Listen is where other processes of the site reach this one, behind address
 	// translation; the announced address if empty.
 	Listen string
+	// RequestLines bounds the lines about single jobs and runs, a second; those of
+	// standard days of the small sites if zero.
+	RequestLines int
 	// Network is where the process is reached and reaches others; TCP if nil.
 	Network wire.Network
 }
@@ -76,7 +79,7 @@
 		stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]time.Time), pull: make(map[string]bool),
 		sessions: make(map[string]uint64), jobs: make(map[string]int),
 	}
-	e.requests = bounded(e.log)
+	e.requests = bounded(e.log, o.RequestLines)
 	e.ending, e.answerAll = context.WithCancelCause(context.Background())
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"masticbay/roster"
+	"masticbay/telemetry"
 	"masticbay/wire"
 	"masticbay/work"
 )
@@ -103,6 +104,9 @@
 
 // runAt hands a job to a home and waits for the outcome.
 func (e *Entry) runAt(ctx context.Context, m roster.Member, args *RunArgs) (out work.Outcome, moved bool, err error) {
+	ctx, span := telemetry.Span(ctx, "entry → home")
+	defer span.End()
+	args.Job.Trace = telemetry.Inject(ctx)
 	if m.Life == e.life {
 		out, moved = e.home.run(ctx, args)
 		return out, moved, nil
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"masticbay/platform"
+	"masticbay/telemetry"
 	"masticbay/work"
 )
 
@@ -99,6 +101,9 @@
 	s.Job.Left = platform.CallerWaits(r, callerWaits)
 	ctx, release := e.waitFor(r.Context(), s.Job.Left)
 	defer release()
+	ctx, span := telemetry.Span(ctx, "submit")
+	defer span.End()
+	span.SetAttributes(attribute.String("job", id))
 	out := e.run(ctx, s.Job, begun)
 	took := e.now().Sub(begun)
 	e.metrics.answered(out.State, took)
--- a/site/site.go
+++ b/site/site.go
@@ -27,6 +27,7 @@
 package site
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -70,14 +71,16 @@
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
 
-// requestLines bounds the lines about single jobs and runs, a second and process.
+// requestLines bounds the lines about single jobs and runs, a second and process,
+// if the settings do not.
 // A home writes one for each job, up to 155 a second on standard days of the small
 // sites; on the grown ones it leaves some out.
 const requestLines = 400
 
 // bounded returns a log for lines about single jobs and runs.
-func bounded(log zerolog.Logger) zerolog.Logger {
-	return log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
+func bounded(log zerolog.Logger, lines int) zerolog.Logger {
+	lines = cmp.Or(lines, requestLines)
+	return log.Sample(&zerolog.BurstSampler{Burst: uint32(lines), Period: time.Second})
 }
 
 // GuardConfig returns the limits by which an agent judges its worker.
--- a/work/work.go
+++ b/work/work.go
@@ -87,6 +87,7 @@
 	Spec  string
 	Steps []Step
 	Left  time.Duration // how long the caller waits, from when the job was handed over
+	Trace string        // W3C traceparent of the hop before; empty if it is not traced
 	Age   time.Duration // how long the system has had the job when it was handed over
 }
 
@@ -198,6 +199,7 @@
 	Room       Room
 	Estimate   time.Duration // on a worker of slowness 1 at this distance from the data
 	Expected   time.Duration // on the worker that it goes to; 0 if unknown
+	Trace      string        // of the job's hop to its home
 	Checkpoint string        // where to resume; empty for the beginning
 }
 
