--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -127,12 +127,17 @@
 	}
 }
 
+// dialLimit ends attempts to connect over a cut, as the processes' own dialers do.
+const dialLimit = time.Second
+
 // webHost is a host that also connects to addresses to which an HTTP client has
 // added its default port.
 type webHost struct{ host }
 
 // Dial implements wire.Network.
 func (h webHost) Dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
 	return h.host.Dial(ctx, strings.TrimSuffix(address, ":80"))
 }
 
