Give the parts of a report one type each; say slowdown and mature runs

No change in what is decided. schedule.Event, Pace and Projection were copies of worker's types; the limit from which a run counts as slow stood twice.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -151,7 +151,7 @@
 	agent    string
 	began    time.Time
 	expected time.Duration
-	drag     float64 // of the worker when the task was placed
+	slowdown float64 // of the worker when the task was placed
 	stopping bool
 }
 
@@ -366,7 +366,7 @@
 	}
 	c.loseAgents(now)
 	c.stopStalled(now)
-	c.endDrag(now)
+	c.expireSlowdowns(now)
 	c.shed(now)
 	c.place(now)
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -248,7 +248,7 @@
 	st := &j.Steps[step]
 	tk := &j.tasks[step][index]
 	tk.state, tk.run, tk.agent, tk.began = placed, number, t.agent, now
-	tk.drag = t.drag
+	tk.slowdown = t.slowdown
 	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * c.distance(st, t))
 	j.pending--
 	c.queued--
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -17,48 +17,28 @@
 	Others  work.Room // that runs of other entries take
 	Pace    Pace      // as the agent has seen it; told at the first contact
 	Events  []Event
-	Idle    []work.Run // runs that are not young and have made no progress
-	Slow    []Projection
+	Idle    []work.Run   // runs that are not young and have made no progress
+	Slow    []Projection // runs that go far slower than expected
 }
 
-// Projection is how long a run will take at least, as its progress tells. Only
-// runs are told that will take far longer than expected.
-type Projection struct {
-	Run  work.Run
-	Took time.Duration // from its order on
-}
+// Event tells how a run ended.
+type Event = worker.Event
+
+// Pace is how long the worker's runs take against their estimates.
+type Pace = worker.Pace
+
+// Projection is how long a run that goes slowly will take at least.
+type Projection = worker.Projection
 
 // ReportOf returns what the guard of a worker has to tell a home, but for the
 // incarnation of the agent.
 func ReportOf(g *worker.Guard, home string, acked uint64) Report {
 	t, serves := g.Target()
 	_, others := g.Used(home)
-	r := Report{
+	return Report{
 		Target: t, Ready: serves && !g.Silent(), Settled: g.Settled(), Others: others,
-		Pace: Pace(g.Pace()), Idle: g.Idle(home),
-	}
-	for _, p := range g.Slow(home) {
-		r.Slow = append(r.Slow, Projection(p))
-	}
-	for _, e := range g.Events(home, acked) {
-		r.Events = append(r.Events, Event(e))
+		Pace: g.Pace(), Idle: g.Idle(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
-	return r
-}
-
-// Pace is how long a worker's runs take against their estimates.
-type Pace struct {
-	Runs int
-	Log  float64 // mean of the logarithm of run time over estimate
-}
-
-// Event tells how a run ended.
-type Event struct {
-	Seq    uint64
-	Run    work.Run
-	End    work.End
-	Reason string
-	Took   time.Duration
 }
 
 // settleTime is how long after a worker came into contact more are expected.
@@ -69,7 +49,7 @@
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
-		t = &target{agent: agent, life: r.Life, factor: 1, drag: 1, runs: make(map[work.TaskRef]work.Run)}
+		t = &target{agent: agent, life: r.Life, factor: 1, slowdown: 1, runs: make(map[work.TaskRef]work.Run)}
 		c.settle = now.Add(settleTime)
 		c.targets[agent] = t
 		c.names = append(c.names, agent)
@@ -84,7 +64,7 @@
 		t.life, t.seq = r.Life, 0
 	}
 	if t.Born != r.Target.Born {
-		t.drag = 1
+		t.slowdown = 1
 		t.slow, t.streak = mean{n: min(r.Pace.Runs, speedWindow), value: r.Pace.Log}, 0
 		t.judge()
 	}
--- a/schedule/slow.go
+++ b/schedule/slow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // What answers workers that turn slow under load. Ends tell it late, since runs
@@ -18,31 +19,30 @@
 // with wrong estimates. One job proves nothing: the estimates of its tasks are
 // wrong together.
 const (
-	slowJobs = 2
-	slowRun  = 2.5                    // times as long as expected; as agents tell runs
-	youngRun = 60 * time.Millisecond  // within it a slow run may not have been seen as such
-	aMoment  = 200 * time.Millisecond // about the time of a task
+	slowJobs   = 2
+	matureAge  = 60 * time.Millisecond  // within it a slow run may not have been seen as such
+	recentEnds = 200 * time.Millisecond // about the time of a task
 )
 
 // soundEnds are the times at which runs ended about as expected, a moment ago.
 type soundEnds []time.Time
 
 func (s *soundEnds) add(now time.Time, took, expected time.Duration) {
-	if float64(took) <= slowRun*float64(expected) {
-		s.drop(now)
+	if float64(took) <= worker.SlowTimes*float64(expected) {
+		s.recent(now)
 		*s = append(*s, now)
 	}
 }
 
-// drop forgets what is older than a moment, and returns how many are left.
-func (s *soundEnds) drop(now time.Time) int {
-	*s = slices.DeleteFunc(*s, func(at time.Time) bool { return now.Sub(at) > aMoment })
+// recent forgets what is older than recentEnds, and returns how many are left.
+func (s *soundEnds) recent(now time.Time) int {
+	*s = slices.DeleteFunc(*s, func(at time.Time) bool { return now.Sub(at) > recentEnds })
 	return len(*s)
 }
 
-// dragLasts is how long after the last sign a worker counts as slow. Then a few
+// slowdownExpiry is how long after the last sign a worker counts as slow. Then a few
 // tasks find out.
-const dragLasts = 1500 * time.Millisecond
+const slowdownExpiry = 1500 * time.Millisecond
 
 // observeSlow takes the projections of runs that go far slower than expected.
 func (c *Core) observeSlow(now time.Time, t *target, slow []Projection) {
@@ -51,19 +51,19 @@
 	for _, p := range slow {
 		if tk := c.placedTask(t, p.Run); tk != nil && tk.expected > 0 {
 			jobs[p.Run.Task.Job] = true
-			sum += math.Log(float64(p.Took) / float64(tk.expected) * tk.drag)
+			sum += math.Log(float64(p.Took) / float64(tk.expected) * tk.slowdown)
 			n++
 		}
 	}
-	if len(jobs) < slowJobs || 2*n < c.grown(now, t)+t.sound.drop(now) {
+	if len(jobs) < slowJobs || 2*n < c.matureRuns(now, t)+t.sound.recent(now) {
 		return
 	}
-	drag := math.Exp(sum / float64(n))
-	if t.drag == 1 {
+	slowdown := math.Exp(sum / float64(n))
+	if t.slowdown == 1 {
 		c.note(Note{Agent: t.agent, What: "workerSlow", Why: "runs of several jobs go slower than expected",
-			Values: map[string]float64{"times": drag, "slowRuns": float64(n), "runs": float64(len(t.runs))}})
+			Values: map[string]float64{"times": slowdown, "slowRuns": float64(n), "runs": float64(len(t.runs))}})
 	}
-	t.drag, t.dragAt = max(drag, 1), now
+	t.slowdown, t.slowSeen = max(slowdown, 1), now
 	for _, p := range slow {
 		c.move(now, t, p)
 	}
@@ -79,10 +79,10 @@
 	return &j.tasks[r.Task.Step][r.Task.Index]
 }
 
-// grown returns how many runs on a worker are not young.
-func (c *Core) grown(now time.Time, t *target) (n int) {
-	for ref, r := range t.runs {
-		if tk := c.placedTask(t, r); tk != nil && ref == r.Task && now.Sub(tk.began) > youngRun {
+// matureRuns returns how many runs on a worker are not young.
+func (c *Core) matureRuns(now time.Time, t *target) (n int) {
+	for _, r := range t.runs {
+		if tk := c.placedTask(t, r); tk != nil && now.Sub(tk.began) > matureAge {
 			n++
 		}
 	}
@@ -127,12 +127,12 @@
 // elsewhere, stop included, to be moved.
 const moveGain = 2
 
-// endDrag lets workers count as usual of whose slowness nothing was seen for
+// expireSlowdowns lets workers count as usual of whose slowness nothing was seen for
 // long.
-func (c *Core) endDrag(now time.Time) {
+func (c *Core) expireSlowdowns(now time.Time) {
 	for _, name := range c.names {
-		if t := c.targets[name]; t.drag > 1 && now.Sub(t.dragAt) > dragLasts {
-			t.drag = 1
+		if t := c.targets[name]; t.slowdown > 1 && now.Sub(t.slowSeen) > slowdownExpiry {
+			t.slowdown = 1
 		}
 	}
 }
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -24,7 +24,7 @@
 
 // slowness returns how much longer than on a worker of speed 1 a run takes. A
 // worker of which little is known counts like the others of its kind.
-func (t *target) slowness() float64 { return t.factor * t.drag }
+func (t *target) slowness() float64 { return t.factor * t.slowdown }
 
 // judge computes the slowness from what is known.
 func (t *target) judge() {
@@ -66,7 +66,7 @@
 	if est <= 0 || took <= 0 {
 		return
 	}
-	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t) / t.drag)
+	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
 	t.slow.add(ratio-b.value, speedWindow)
 	t.judge()
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -11,22 +11,22 @@
 // target is a worker behind its agent.
 type target struct {
 	work.Target
-	agent  string
-	life   string // incarnation of the agent
-	heard  time.Time
-	ready  bool      // the agent takes starts
-	used   work.Room // by runs that were placed here
-	others work.Room // by runs of other entries, as told
-	runs   map[work.TaskRef]work.Run
-	seq    uint64    // last event that was taken
-	factor float64   // slowness, computed from slow and prior
-	prior  float64   // mean of slow over the workers of its kind
-	slow   mean      // log of run time over expected time on a worker of speed 1
-	drag   float64   // how many times as slow as usual it is; 1 if it is not
-	dragAt time.Time // when that was seen last
-	sound  soundEnds // what speaks against that
-	streak int       // failures in a row
-	resume time.Time // no placement before
+	agent    string
+	life     string // incarnation of the agent
+	heard    time.Time
+	ready    bool      // the agent takes starts
+	used     work.Room // by runs that were placed here
+	others   work.Room // by runs of other entries, as told
+	runs     map[work.TaskRef]work.Run
+	seq      uint64    // last event that was taken
+	factor   float64   // slowness, computed from slow and prior
+	prior    float64   // mean of slow over the workers of its kind
+	slow     mean      // log of run time over expected time on a worker of speed 1
+	slowdown float64   // how many times as slow as usual it is; 1 if it is not
+	slowSeen time.Time // when that was seen last
+	sound    soundEnds // what speaks against that
+	streak   int       // failures in a row
+	resume   time.Time // no placement before
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.others) }
--- a/worker/look.go
+++ b/worker/look.go
@@ -121,7 +121,7 @@
 		r.percent, r.moved = percent, now
 	}
 	r.slow = 0
-	if took := r.project(now); r.start.Expected > 0 && float64(took) > slowTimes*float64(r.start.Expected) {
+	if took := r.project(now); r.start.Expected > 0 && float64(took) > SlowTimes*float64(r.start.Expected) {
 		r.slow = took
 	}
 	r.idle = percent < 100 && now.Sub(r.moved) > max(g.cfg.IdleAge, r.start.Estimate/idlePart)
@@ -137,10 +137,10 @@
 // its begin, and from an answer to its arrival.
 const orderDelay = 5 * time.Millisecond
 
-// slowTimes is how many times as long as expected a run has to take to be told
+// SlowTimes is how many times as long as expected a run has to take to be told
 // as slow. Estimates are off by 40%, which alone explains less in 99 of 100
 // runs.
-const slowTimes = 2.5
+const SlowTimes = 2.5
 
 // Projection is how long a run that goes slowly will take at least.
 type Projection struct {
