--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -65,7 +65,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			onFleet(t, func(t *testing.T, s *fleet) {
+			onFleet(t, func(_ *testing.T, s *fleet) {
 				time.AfterFunc(4*time.Second, func() { tc.fault(s) })
 				s.changeAndAsk(5)
 				s.store.Set(standin.StoreFaults{})
