--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -126,7 +126,7 @@
 // TestEverythingDiesAtOnce: all that is left is the store. Jobs that come after
 // the users' bound are served.
 func TestEverythingDiesAtOnce(t *testing.T) {
-	onFleet(t, func(t *testing.T, s *fleet) {
+	onFleet(t, func(_ *testing.T, s *fleet) {
 		for i := range fleetEntries {
 			s.entry(i).Kill()
 		}
