Split two long files by concept; share what commands on a job have in common

Cause: the stand-in of a worker held its state, the orders it carries out and its heartbeats in 401 lines; the tests of schedule held a harness and three subjects in 404. job status and job cancel repeated the path, its check and the flags.

Change: worker.go, worker_order.go and worker_heartbeat.go; desk_test.go with the harness, job_test.go, place_test.go and end_test.go beside slow_test.go; callJob and teamFlag.

--- a/command/job.go
+++ b/command/job.go
@@ -33,7 +33,7 @@
 			entryFlag(), outputFlag(),
 			&cli.StringFlag{Name: "file", Usage: "the job as JSON in `FILE` (- for standard input), as in docs/API.md"},
 			&cli.StringFlag{Name: "key", Usage: "key of the job; a new one without it"},
-			&cli.StringFlag{Name: "team", Value: "operators", Usage: "team of the job"},
+			teamFlag(),
 			&cli.StringFlag{Name: "service", Value: "pickup", Usage: "service of the job"},
 			&cli.IntFlag{Name: "tasks", Value: 1, Usage: "number of tasks without a payload"},
 			&cli.BoolFlag{Name: "idempotent", Usage: "the tasks may run again under a later submission"},
@@ -105,20 +105,13 @@
 		Name:      "status",
 		Usage:     "prints the answer of a job, or its counts while it runs",
 		ArgsUsage: "KEY",
-		Flags: []cli.Flag{
-			entryFlag(), outputFlag(),
-			&cli.StringFlag{Name: "team", Value: "operators", Usage: "team of the job"},
-			&cli.BoolFlag{Name: "wait", Usage: "wait for the answer"},
-		},
+		Flags:     []cli.Flag{entryFlag(), outputFlag(), teamFlag(), &cli.BoolFlag{Name: "wait", Usage: "wait for the answer"}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			path, err := jobPath(cmd)
-			if err != nil {
-				return err
-			}
+			query := ""
 			if cmd.Bool("wait") {
-				path += "?wait=true"
+				query = "?wait=true"
 			}
-			ans, err := call[job.Answer](ctx, cmd, http.MethodGet, path, nil)
+			ans, err := callJob(ctx, cmd, http.MethodGet, query)
 			if err != nil {
 				return err
 			}
@@ -132,16 +125,9 @@
 		Name:      "cancel",
 		Usage:     "cancels a job; what has started runs to its end",
 		ArgsUsage: "KEY",
-		Flags: []cli.Flag{
-			entryFlag(), outputFlag(),
-			&cli.StringFlag{Name: "team", Value: "operators", Usage: "team of the job"},
-		},
+		Flags:     []cli.Flag{entryFlag(), outputFlag(), teamFlag()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			path, err := jobPath(cmd)
-			if err != nil {
-				return err
-			}
-			ans, err := call[job.Answer](ctx, cmd, http.MethodDelete, path, nil)
+			ans, err := callJob(ctx, cmd, http.MethodDelete, "")
 			if err != nil {
 				return err
 			}
@@ -150,9 +136,15 @@
 	}
 }
 
-func jobPath(cmd *cli.Command) (string, error) {
+func teamFlag() cli.Flag {
+	return &cli.StringFlag{Name: "team", Value: "operators", Usage: "team of the job"}
+}
+
+// callJob calls an entry about the job that the command names.
+func callJob(ctx context.Context, cmd *cli.Command, method, query string) (ans job.Answer, err error) {
 	if cmd.Args().Len() != 1 {
-		return "", usagef("want one KEY, got %d arguments", cmd.Args().Len())
+		return ans, usagef("want one KEY, got %d arguments", cmd.Args().Len())
 	}
-	return "/v1/jobs/" + url.PathEscape(cmd.String("team")) + "/" + url.PathEscape(cmd.Args().First()), nil
+	path := "/v1/jobs/" + url.PathEscape(cmd.String("team")) + "/" + url.PathEscape(cmd.Args().First())
+	return call[job.Answer](ctx, cmd, method, path+query, nil)
 }
--- /dev/null
+++ b/schedule/desk_test.go
@@ -0,0 +1,124 @@
+package schedule_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"masticbay/schedule"
+	"masticbay/work"
+)
+
+var cfg = schedule.Config{
+	Suspect: 300 * time.Millisecond, Lost: 1350 * time.Millisecond, Late: 3, Margin: 5 * time.Millisecond,
+	Far: 3, Remember: 100, MaxQueued: 1000,
+}
+
+// desk plays the agents and the entries around a Core.
+type desk struct {
+	t      *testing.T
+	c      *schedule.Core
+	now    time.Time
+	seq    map[string]uint64
+	starts map[string][]work.Run
+	stops  map[string][]work.Run
+	ends   map[string]work.Outcome
+	agents map[string]work.Target
+}
+
+func newDesk(t *testing.T) *desk {
+	return &desk{
+		t: t, c: schedule.NewCore(cfg), now: time.Unix(1000, 0), seq: make(map[string]uint64),
+		starts: make(map[string][]work.Run), stops: make(map[string][]work.Run),
+		ends: make(map[string]work.Outcome), agents: make(map[string]work.Target),
+	}
+}
+
+// agent adds an agent whose worker has room for some tasks of ten thousandths.
+func (d *desk) agent(name string, room int, labels ...string) {
+	d.agents[name] = work.Target{ID: "w-" + name, Born: 1, Service: "s", Labels: labels, Capacity: work.Room{CPU: 10 * room}}
+	d.report(name)
+}
+
+func (d *desk) report(name string, events ...schedule.Event) {
+	for i := range events {
+		d.seq[name]++
+		events[i].Seq = d.seq[name]
+	}
+	d.c.Report(d.now, name, &schedule.Report{Life: "1", Target: d.agents[name], Ready: true, Settled: true, Events: events})
+	d.take()
+}
+
+func (d *desk) take() {
+	acts := d.c.Take()
+	for a, starts := range acts.Starts {
+		for _, s := range starts {
+			d.starts[a] = append(d.starts[a], s.Run)
+		}
+	}
+	for a, runs := range acts.Stops {
+		d.stops[a] = append(d.stops[a], runs...)
+	}
+	for _, e := range acts.Outcomes {
+		d.ends[e.Job] = e.Outcome
+	}
+}
+
+// pass lets time go on while all agents stay in contact.
+func (d *desk) pass(span time.Duration, silent ...string) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.now = d.now.Add(10 * time.Millisecond)
+		for name := range d.agents {
+			if len(silent) == 0 || silent[0] != name {
+				d.report(name)
+			}
+		}
+		d.c.Tick(d.now)
+		d.take()
+	}
+}
+
+func job(id string, priority, tasks int, est time.Duration) work.Job {
+	return work.Job{
+		ID: id, Left: 5 * time.Second,
+		Queue: work.Queue{Name: "q" + strconv.Itoa(priority), Service: "s", Priority: priority, MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond},
+		Steps: []work.Step{{Count: tasks, Room: work.Room{CPU: 10}, Estimate: est}},
+	}
+}
+
+func (d *desk) submit(j work.Job) {
+	d.c.Submit(d.now, j, 0)
+	d.take()
+}
+
+func (d *desk) end(agent string, r work.Run, how work.End, took time.Duration) {
+	d.report(agent, schedule.Event{Run: r, End: how, Took: took})
+}
+
+func (d *desk) wantOutcome(id string, want work.State) {
+	d.t.Helper()
+	if got := d.ends[id].State; got != want {
+		d.t.Errorf("job %s ended as %q (%s), want %q", id, got, d.ends[id].Reason, want)
+	}
+}
+
+func (d *desk) wantStarts(agent string, want int) {
+	d.t.Helper()
+	if got := len(d.starts[agent]); got != want {
+		d.t.Errorf("%d starts at %s, want %d", got, agent, want)
+	}
+}
+
+// teach lets a worker of slowness x run tasks until its speed is known.
+func (d *desk) teach(agent string, x float64) {
+	est := 100 * time.Millisecond
+	d.c.Submit(d.now, job("teach-"+agent, 0, 1, est), 0)
+	for i := range 60 {
+		d.take()
+		r := d.starts[agent][len(d.starts[agent])-1]
+		d.end(agent, r, work.Done, time.Duration(float64(est)*x))
+		d.c.Submit(d.now, job("teach-"+agent+strconv.Itoa(i), 0, 1, est), 0)
+	}
+	d.take()
+	d.end(agent, d.starts[agent][len(d.starts[agent])-1], work.Done, est)
+}
