--- a/bench/replay.go
+++ b/bench/replay.go
@@ -153,7 +153,7 @@
 // report tells the home what an agent knows.
 func (r *replay) report(w *modelWorker) {
 	w.guard.Hear(modelHome, r.now())
-	life, acked := r.core.Acked(w.agent)
+	life, acked := r.core.Taken(w.agent)
 	if life == "" {
 		acked = 0
 	}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticbay/store"
+	"masticbay/work"
+)
+
+// The keys in the store.
+const (
+	// TenureKey names the holder.
+	TenureKey = "masticbay/tenure"
+	// Prefix is that of all other keys.
+	Prefix = "masticbay/ledger/"
+
+	agentsKey      = Prefix + "agents"
+	jobPrefix      = Prefix + "job/"
+	progressPrefix = Prefix + "progress/"
+)
+
+// JobKey returns the key of a job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// tenure is the value of TenureKey.
+type tenure struct {
+	Life  string `json:"life"` // incarnation of the holder
+	Epoch uint64 `json:"epoch"`
+	Seq   uint64 `json:"seq"` // of its last commit
+}
+
+// jobValue is the value of a job; without Job once it has ended.
+type jobValue struct {
+	Job       *work.Job  `json:"job,omitempty"`
+	Submitted int64      `json:"submitted,omitempty"` // Unix milliseconds
+	State     work.State `json:"state,omitempty"`
+	Ended     int64      `json:"ended,omitempty"` // Unix milliseconds
+}
+
+// progressValue is the value of a job's progress.
+type progressValue struct {
+	Done     [][]int        `json:"done"`
+	Failures map[string]int `json:"failures,omitempty"` // by task
+}
+
+func (j *Job) encode() ([]byte, error) {
+	if j.State != "" {
+		return json.Marshal(jobValue{State: j.State, Ended: j.Ended.UnixMilli()})
+	}
+	w := j.Job
+	w.Left, w.Age, w.Trace = 0, 0, ""
+	return json.Marshal(jobValue{Job: &w, Submitted: j.Submitted.UnixMilli()})
+}
+
+func (j *Job) encodeProgress() ([]byte, error) {
+	v := progressValue{Done: j.Done}
+	for t, n := range j.Failures {
+		if v.Failures == nil {
+			v.Failures = make(map[string]int)
+		}
+		v.Failures[t.String()] = n
+	}
+	return json.Marshal(v)
+}
+
+// StateOf returns the state that the item of a job tells: queued for any that
+// has not ended.
+func StateOf(it store.Item) (s work.State, err error) {
+	var v jobValue
+	if err := json.Unmarshal(it.Value, &v); err != nil {
+		return "", errors.Annotatef(err, "decoding %q", it.Key)
+	}
+	if v.State == "" {
+		return work.Queued, nil
+	}
+	return v.State, nil
+}
+
+// decode takes the items of the ledger.
+func (l *Ledger) decode(items []store.Item) (err error) {
+	progress := make(map[string]progressValue)
+	for _, it := range items {
+		switch {
+		case it.Key == agentsKey:
+			err = l.decodeAgents(it.Value)
+		case strings.HasPrefix(it.Key, jobPrefix):
+			err = l.decodeJob(strings.TrimPrefix(it.Key, jobPrefix), it.Value)
+		case strings.HasPrefix(it.Key, progressPrefix):
+			var v progressValue
+			err = json.Unmarshal(it.Value, &v)
+			progress[strings.TrimPrefix(it.Key, progressPrefix)] = v
+		}
+		if err != nil {
+			return errors.Annotatef(err, "decoding %q", it.Key)
+		}
+	}
+	for id, v := range progress {
+		j, ok := l.jobs[id]
+		if !ok || j.State != "" {
+			continue
+		}
+		j.progress = true
+		copy(j.Done, v.Done)
+		for name, n := range v.Failures {
+			t, err := work.ParseTaskRef(name)
+			if err != nil {
+				return err
+			}
+			j.Failures[t] = n
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) decodeAgents(raw []byte) error {
+	var agents []string
+	if err := json.Unmarshal(raw, &agents); err != nil {
+		return err
+	}
+	for _, a := range agents {
+		l.agents[a] = true
+	}
+	return nil
+}
+
+func (l *Ledger) decodeJob(id string, raw []byte) error {
+	var v jobValue
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return err
+	}
+	j := &Job{stored: true, closed: v.State != "", State: v.State}
+	switch {
+	case v.State != "":
+		j.ID, j.Ended = id, time.UnixMilli(v.Ended)
+		l.ended = append(l.ended, j)
+	case v.Job != nil:
+		j.Job, j.Submitted = *v.Job, time.UnixMilli(v.Submitted)
+		j.Done, j.Failures = make([][]int, len(j.Steps)), make(map[work.TaskRef]int)
+	default:
+		return errors.NotValidf("item without job and state")
+	}
+	l.jobs[id] = j
+	return nil
+}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -99,7 +99,7 @@
 	powers := make(map[string]*power)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
-		if j.sent {
+		if j.sent || j.Stored {
 			continue
 		}
 		p, ok := powers[j.Queue.Service]
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,6 +62,8 @@
 	bias    map[string]*bias // by queue
 	settle  time.Time        // until then more workers are expected to come into contact
 	priors  time.Time        // when the means of the kinds of workers were computed
+	tenure  Tenure
+	epoch   uint64 // of the last tenure
 	out     Decisions
 }
 
@@ -78,6 +80,7 @@
 	Starts   map[string][]work.Start // by agent
 	Stops    map[string][]work.Run   // by agent
 	Outcomes []Ending
+	Marks    []Mark
 	Notes    []Note
 }
 
@@ -120,6 +123,7 @@
 	sent      bool            // something of it was sent to an agent
 	withdrawn bool            // nobody waits for it
 	over      bool            // it has been answered
+	late      bool            // it can no longer be in time, and has to be done all the same
 	waits     bool            // it is in Core.waiting
 	avoid     map[string]bool // agents where a run failed or stalled
 	first     time.Time       // first placement
@@ -163,15 +167,15 @@
 	return c.queued, running
 }
 
-// Waiting returns how many jobs of a queue have not begun.
-func (c *Core) Waiting(queue string) int {
-	n := 0
+// Waiting returns, by queue, how many jobs have not begun.
+func (c *Core) Waiting() map[string]int {
+	counts := make(map[string]int)
 	for _, j := range c.waiting {
-		if j.Queue.Name == queue && !j.sent {
-			n++
+		if !j.sent {
+			counts[j.Queue.Name]++
 		}
 	}
-	return n
+	return counts
 }
 
 // Submit takes a job. Its outcome follows with Take, maybe at once.
@@ -185,7 +189,7 @@
 		return
 	}
 	j := newJob(now, w, firstRun)
-	j.cutoff = j.begun.Add(time.Duration(float64(w.Queue.Objective(w.Chain())) * c.cfg.Late))
+	j.cutoff = c.cutoff(j)
 	if end := now.Add(w.Left); end.Before(j.cutoff) {
 		j.cutoff = end
 	}
@@ -199,6 +203,12 @@
 	c.place(now)
 }
 
+// cutoff returns the time after which the end of a job is of no use to its
+// caller, if that waits.
+func (c *Core) cutoff(j *job) time.Time {
+	return j.begun.Add(time.Duration(float64(j.Queue.Objective(j.Chain())) * c.cfg.Late))
+}
+
 func newJob(now time.Time, w work.Job, firstRun int) *job {
 	j := &job{Job: w, begun: now.Add(-w.Age), tasks: make([][]task, len(w.Steps)), left: make([]int, len(w.Steps))}
 	j.objective = j.begun.Add(w.Queue.Objective(w.Chain()))
@@ -276,8 +286,10 @@
 	c.dequeue(j)
 	c.noteEnd(j, out)
 	c.out.Outcomes = append(c.out.Outcomes, Ending{j.ID, out})
-	switch out.State {
-	case work.Completed, work.JobFailed:
+	switch {
+	case j.Stored:
+		// The ledger remembers it.
+	case out.State == work.Completed, out.State == work.JobFailed:
 		c.remember(j.ID, out)
 	default:
 		c.rememberBegin(j)
@@ -346,10 +358,15 @@
 		return
 	}
 	t.stopping = true
+	c.order(t.agent, j.ref(step, index))
+}
+
+// order orders an agent to stop a run.
+func (c *Core) order(agent string, r work.Run) {
 	if c.out.Stops == nil {
 		c.out.Stops = make(map[string][]work.Run)
 	}
-	c.out.Stops[t.agent] = append(c.out.Stops[t.agent], j.ref(step, index))
+	c.out.Stops[agent] = append(c.out.Stops[agent], r)
 }
 
 // ref returns the last run of a task.
@@ -368,5 +385,6 @@
 	c.stopStalled(now)
 	c.expireSlowdowns(now)
 	c.shed(now)
+	c.age(now)
 	c.place(now)
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -17,7 +17,11 @@
 // take takes the end of a run.
 func (c *Core) take(now time.Time, t *target, e Event) {
 	have, ok := t.runs[e.Run.Task]
+	if !ok && c.adopted(now, t, &e) {
+		have, ok = e.Run, true
+	}
 	if !ok || have != e.Run {
+		c.disown(t, &e)
 		return
 	}
 	delete(t.runs, e.Run.Task)
@@ -25,6 +29,9 @@
 	if !ok {
 		return
 	}
+	if j.Stored && (e.End == work.Done || e.End == work.Failed) {
+		c.mark(t, &e)
+	}
 	step, index := e.Run.Task.Step, e.Run.Task.Index
 	t.used = t.used.Sub(j.Steps[step].Room)
 	j.running--
@@ -62,12 +69,19 @@
 		c.unblock(j)
 		c.enqueue(j)
 	}
+	if j.finished() {
+		c.close(j, work.Outcome{State: work.Completed})
+	}
+}
+
+// finished reports whether all tasks are done.
+func (j *job) finished() bool {
 	for _, n := range j.left {
 		if n > 0 {
-			return
+			return false
 		}
 	}
-	c.close(j, work.Outcome{State: work.Completed})
+	return true
 }
 
 func (c *Core) fail(now time.Time, t *target, j *job, step, index int) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -17,9 +17,14 @@
 	c.waiting = slices.Insert(c.waiting, i, j)
 }
 
-// before orders jobs: by priority, then by the objective, then by name.
+// before orders jobs: those that can be in time first, by priority, then by the objective, then by name.
 func before(a, b *job) int {
 	switch {
+	case a.late != b.late:
+		if a.late {
+			return 1
+		}
+		return -1
 	case a.Queue.Priority != b.Queue.Priority:
 		return a.Queue.Priority - b.Queue.Priority
 	case !a.objective.Equal(b.objective):
@@ -46,9 +51,10 @@
 		return
 	}
 	most := mostFree(open)
+	tenured := c.tenured(now)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
-		if j.leastCPU > most {
+		if j.leastCPU > most || j.Stored && !tenured {
 			continue
 		}
 		if c.placeJob(now, j, open) {
@@ -214,6 +220,9 @@
 // suits reports whether a worker may run tasks of a step.
 func (c *Core) suits(j *job, step int, t *target) bool {
 	st := &j.Steps[step]
+	if j.Stored && !c.obeys(t) {
+		return false
+	}
 	if t.Service != j.Queue.Service || j.avoid[t.agent] && c.alternative(j, t) {
 		return false
 	}
@@ -245,23 +254,32 @@
 
 // assign starts a run of a task.
 func (c *Core) assign(now time.Time, t *target, j *job, step, index, number int) {
+	run := j.ref(step, index)
+	run.Number = number
+	tk := c.put(now, t, j, run)
 	st := &j.Steps[step]
-	tk := &j.tasks[step][index]
-	tk.state, tk.run, tk.agent, tk.began = placed, number, t.agent, now
+	if c.out.Starts == nil {
+		c.out.Starts = make(map[string][]work.Start)
+	}
+	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected, Trace: j.Trace, Stored: j.Stored})
+}
+
+// put notes that a run of a pending task is at a worker since began.
+func (c *Core) put(began time.Time, t *target, j *job, run work.Run) *task {
+	step := run.Task.Step
+	st := &j.Steps[step]
+	tk := &j.tasks[step][run.Task.Index]
+	tk.state, tk.run, tk.agent, tk.began = placed, run.Number, t.agent, began
 	tk.slowdown = t.slowdown
 	tk.expected = time.Duration(float64(c.expect(j, step)) * t.slowness() * c.distance(st, t))
 	j.pending--
 	c.queued--
 	j.running++
 	if !j.sent {
-		j.sent, j.first = true, now
+		j.sent, j.first = true, began
 	}
-	run := j.ref(step, index)
 	t.runs[run.Task] = run
 	t.used = t.used.Add(st.Room)
-	if c.out.Starts == nil {
-		c.out.Starts = make(map[string][]work.Start)
-	}
-	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
-	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected, Trace: j.Trace})
+	return tk
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -19,6 +19,8 @@
 	Events  []Event
 	Idle    []work.Run   // runs that are not young and have made no progress
 	Slow    []Projection // runs that go far slower than expected
+	Epoch   uint64       // of the tenure that the agent obeys
+	Kept    []Kept       // runs of stored jobs, if they were asked for
 }
 
 // Event tells how a run ended.
@@ -36,7 +38,8 @@
 	t, serves := g.Target()
 	_, others := g.Used(home)
 	return Report{
-		Target: t, Ready: serves && !g.Silent(), Settled: g.Settled(), Others: others,
+		Epoch:  g.Epoch(),
+		Target: t, Ready: serves && !g.Silent() && !g.Lapsing(), Settled: g.Settled() && !g.Lapsing(), Others: others,
 		Pace: g.Pace(), Idle: g.Idle(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
 }
@@ -61,7 +64,7 @@
 			return // what it ran before may not have ended yet
 		}
 		c.loseRuns(now, t, "agent started anew")
-		t.life, t.seq = r.Life, 0
+		t.life, t.seq, t.tenure, t.unsaved = r.Life, 0, 0, nil
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
@@ -70,6 +73,7 @@
 	}
 	more := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.others || now.Sub(t.heard) > c.cfg.Suspect
 	t.Target, t.ready, t.others, t.heard = r.Target, r.Ready, r.Others, now
+	c.adopt(now, t, r)
 	for _, e := range r.Events {
 		if e.Seq > t.seq {
 			t.seq = e.Seq
@@ -83,15 +87,27 @@
 	}
 }
 
-// Acked returns the number of the last event of an agent that was taken, and
-// the incarnation of the agent that it belongs to.
-func (c *Core) Acked(agent string) (life string, seq uint64) {
+// Taken returns the number of the last event of an agent that was taken, and the
+// incarnation of the agent that it belongs to.
+func (c *Core) Taken(agent string) (life string, seq uint64) {
 	if t, ok := c.targets[agent]; ok {
 		return t.life, t.seq
 	}
 	return "", 0
 }
 
+// Acked returns the number up to which an agent may forget its events.
+func (c *Core) Acked(agent string) uint64 {
+	t, ok := c.targets[agent]
+	switch {
+	case !ok:
+		return 0
+	case len(t.unsaved) > 0:
+		return slices.Min(t.unsaved) - 1
+	}
+	return t.seq
+}
+
 // Lost tells that all runs at an agent have ended, as far as leases tell.
 func (c *Core) loseAgents(now time.Time) {
 	for _, name := range c.names {
--- /dev/null
+++ b/schedule/stored.go
@@ -0,0 +1,227 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// Stored jobs outlive their home. The entry that holds the ledger (package
+// ledger) places their tasks under its tenure; agents obey only the latest one
+// and keep the runs of the one before, which the new holder adopts. The end of a
+// run is saved in the ledger before its agent may forget it.
+
+// Tenure is the right to place the tasks of stored jobs.
+type Tenure struct {
+	Epoch uint64 // 0: there is no such right
+	// Until is when the right ends if it is not renewed.
+	Until time.Time
+	// Agents are those that may get tasks.
+	Agents []string
+	// Former are those that a former holder may have given tasks. No task is
+	// placed until each of them has confirmed this tenure, or Clear, when the
+	// leases of a holder without contact have ended.
+	Former []string
+	Clear  time.Time
+}
+
+// Mark tells that a run of a stored job has ended as done or failed. Its agent
+// keeps the event until Saved is called.
+type Mark struct {
+	Agent string
+	Life  string // incarnation of the agent
+	Seq   uint64 // of the event
+	Run   work.Run
+	End   work.End
+}
+
+// Kept is a run of a stored job that an agent has from a former holder.
+type Kept struct {
+	Run work.Run
+	Age time.Duration
+}
+
+// Hold sets the tenure. If it is over, stored jobs and their runs are forgotten:
+// another home has them.
+func (c *Core) Hold(now time.Time, t Tenure) {
+	if t.Epoch != c.tenure.Epoch {
+		c.dropStored()
+	}
+	c.tenure, c.epoch = t, max(c.epoch, t.Epoch)
+	c.place(now)
+}
+
+func (c *Core) dropStored() {
+	for _, name := range c.names {
+		t := c.targets[name]
+		t.tenure = 0 // but unsaved stays: the next holder has to hear of those ends
+		for _, r := range t.sorted() {
+			if j, ok := c.jobs[r.Task.Job]; ok && j.Stored {
+				delete(t.runs, r.Task)
+				t.used = t.used.Sub(j.Steps[r.Task.Step].Room)
+			}
+		}
+	}
+	for id, j := range c.jobs {
+		if j.Stored {
+			c.dequeue(j)
+			c.queued -= j.pending
+			delete(c.jobs, id)
+		}
+	}
+}
+
+// Admit returns why a new job should be rejected, and when to come back, or "".
+func (c *Core) Admit(now time.Time, w *work.Job) (why string, retry time.Duration) {
+	j := newJob(now, *w, 0)
+	j.cutoff = c.cutoff(j)
+	if why, retry = c.hopeless(now, j, c.power(now, w.Queue.Service), true); why == reasonNoWorkers {
+		return "", 0 // it is stored and can wait
+	}
+	return why, retry
+}
+
+// Restore takes a job that has been stored, with what is done of it.
+func (c *Core) Restore(now time.Time, w work.Job, firstRun int, finished [][]int, failures map[work.TaskRef]int) {
+	if _, ok := c.jobs[w.ID]; ok {
+		return
+	}
+	j := newJob(now, w, firstRun)
+	j.cutoff = c.cutoff(j)
+	for step, indices := range finished {
+		for _, i := range indices {
+			j.tasks[step][i].state = done
+			j.left[step]--
+		}
+	}
+	for t, n := range failures {
+		j.tasks[t.Step][t.Index].failures = n
+	}
+	c.jobs[w.ID] = j
+	c.unblock(j)
+	if j.finished() {
+		c.close(j, work.Outcome{State: work.Completed})
+		return
+	}
+	c.enqueue(j)
+	c.place(now)
+}
+
+// Cancel ends a stored job whose end has been saved, and stops its runs.
+func (c *Core) Cancel(now time.Time, id string) {
+	j, ok := c.jobs[id]
+	if !ok || j.over {
+		return
+	}
+	c.stopAll(now, j, 0)
+	c.close(j, work.Outcome{State: work.Cancelled})
+	c.place(now)
+}
+
+// Begun reports whether something of a job was sent to an agent.
+func (c *Core) Begun(id string) bool {
+	j, ok := c.jobs[id]
+	return ok && j.sent
+}
+
+// Saved lets an agent forget an event.
+func (c *Core) Saved(agent, life string, seq uint64) {
+	if t, ok := c.targets[agent]; ok && t.life == life {
+		t.unsaved = slices.DeleteFunc(t.unsaved, func(n uint64) bool { return n == seq })
+	}
+}
+
+// adopt takes the runs that an agent has from a former holder of the ledger.
+func (c *Core) adopt(now time.Time, t *target, r *Report) {
+	if r.Epoch > c.epoch || r.Epoch == c.tenure.Epoch && t.tenure != r.Epoch {
+		t.unsaved = nil // the agent tells these ends to the holder, maybe anew
+	}
+	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.tenure == r.Epoch {
+		return
+	}
+	t.tenure = r.Epoch
+	for _, k := range r.Kept {
+		j, ok := c.jobs[k.Run.Task.Job]
+		if !ok || !j.Stored || j.over || j.tasks[k.Run.Task.Step][k.Run.Task.Index].state != pending {
+			c.order(t.agent, k.Run)
+			continue
+		}
+		c.put(now.Add(-k.Age), t, j, k.Run)
+		c.note(Note{Job: j.ID, Agent: t.agent, Run: k.Run, What: "runAdopted", Why: "its former home is lost"})
+	}
+}
+
+// mark notes that an event has to be saved before its agent forgets it.
+func (c *Core) mark(t *target, e *Event) {
+	c.out.Marks = append(c.out.Marks, Mark{Agent: t.agent, Life: t.life, Seq: e.Seq, Run: e.Run, End: e.End})
+	t.unsaved = append(t.unsaved, e.Seq)
+}
+
+// disown leaves the end of a run of a stored job to the holder of the ledger, if
+// this home is not it.
+func (c *Core) disown(t *target, e *Event) {
+	if e.Stored && t.tenure == 0 {
+		t.unsaved = append(t.unsaved, e.Seq)
+	}
+}
+
+// adopted makes the run of an event known that ended before its agent told that
+// it had it.
+func (c *Core) adopted(now time.Time, t *target, e *Event) bool {
+	j, ok := c.jobs[e.Run.Task.Job]
+	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || j.tasks[e.Run.Task.Step][e.Run.Task.Index].state != pending {
+		return false
+	}
+	c.put(now.Add(-e.Took), t, j, e.Run)
+	return true
+}
+
+// cleared reports whether no run of a former holder can be left that is not
+// known.
+func (c *Core) cleared(now time.Time) bool {
+	if now.After(c.tenure.Clear) {
+		return true
+	}
+	for _, name := range c.tenure.Former {
+		if t, ok := c.targets[name]; !ok || t.tenure != c.tenure.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// tenured reports whether tasks of stored jobs may be placed now.
+func (c *Core) tenured(now time.Time) bool {
+	return c.tenure.Epoch > 0 && now.Before(c.tenure.Until) && c.cleared(now)
+}
+
+// Confirmed reports whether an agent has confirmed the tenure.
+func (c *Core) Confirmed(agent string) bool {
+	t, ok := c.targets[agent]
+	return ok && t.tenure == c.tenure.Epoch
+}
+
+// Heard reports whether an agent is in contact, or has been until a moment ago so
+// that something may run there.
+func (c *Core) Heard(now time.Time, agent string) bool {
+	t, ok := c.targets[agent]
+	return ok && now.Sub(t.heard) <= c.cfg.Lost
+}
+
+// obeys reports whether a worker's agent takes tasks of stored jobs from here.
+func (c *Core) obeys(t *target) bool {
+	return t.tenure == c.tenure.Epoch && slices.Contains(c.tenure.Agents, t.agent)
+}
+
+// age puts the jobs behind the others of their priority that can no longer be in
+// time for their callers. They have to be done all the same.
+func (c *Core) age(now time.Time) {
+	for _, j := range slices.Clone(c.waiting) {
+		if j.Stored && !j.late && now.After(j.cutoff) {
+			c.dequeue(j)
+			j.late = true
+			c.enqueue(j)
+		}
+	}
+}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -27,6 +27,8 @@
 	sound    soundEnds // what speaks against that
 	streak   int       // failures in a row
 	resume   time.Time // no placement before
+	tenure   uint64    // that the agent has confirmed
+	unsaved  []uint64  // events that the agent has to keep for now
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.others) }
--- a/site/agent.go
+++ b/site/agent.go
@@ -243,11 +243,17 @@
 			return
 		default:
 		}
+		pause := time.Duration(0)
 		if !a.look(lookWait) {
+			pause = lookPause
+		} else if a.holding() {
+			pause = holdPause
+		}
+		if pause > 0 {
 			select {
 			case <-a.stop:
 				return
-			case <-time.After(lookPause):
+			case <-time.After(pause):
 			}
 		}
 	}
@@ -256,6 +262,16 @@
 // lookPause is the pause after a look that failed.
 const lookPause = 20 * time.Millisecond
 
+// holdPause is the pause between looks that do not wait, as the worker lists ends
+// that it must not forget yet.
+const holdPause = 10 * time.Millisecond
+
+func (a *Agent) holding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.guard.Holding()
+}
+
 // look asks the worker once, which may wait for an end, and reports whether it
 // answered.
 func (a *Agent) look(wait time.Duration) bool {
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -5,6 +5,7 @@
 
 	"masticbay/schedule"
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // agentMethods are what homes call.
@@ -17,11 +18,15 @@
 	a := m.a
 	a.mu.Lock()
 	a.guard.Hear(args.Home, unstamp(args.Echo))
+	if args.Life == a.life {
+		t := &args.Tenure
+		a.guard.Own(a.now(), args.Home, worker.Tenure{Epoch: t.Epoch, Vacant: t.Vacant, Owned: unstamp(t.Owned)})
+	}
 	if args.Life == a.life {
 		a.takeOrders(args)
 	}
 	news := a.news
-	fresh := len(a.guard.Events(args.Home, args.Acked)) > 0
+	fresh := newer(a.guard.Events(args.Home, args.Acked), args.Known)
 	a.mu.Unlock()
 	if args.Wait > 0 && !fresh {
 		t := time.NewTimer(args.Wait)
@@ -36,12 +41,30 @@
 	reply.Stamp = stamp(a.now())
 	reply.Taken = a.taken[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
+	if args.Tenure.Kept {
+		reply.Report.Kept = a.kept()
+	}
 	if reply.Target = a.version; args.Target == a.version && args.Life == a.life {
 		reply.Report.Target, reply.Report.Pace = work.Target{}, schedule.Pace{}
 	}
 	return nil
 }
 
+// newer reports whether there is an event with a higher number than known.
+func newer(events []schedule.Event, known uint64) bool {
+	return len(events) > 0 && events[len(events)-1].Seq > known
+}
+
+// kept returns the runs of stored jobs. The caller holds mu.
+func (a *Agent) kept() []schedule.Kept {
+	runs, since := a.guard.Kept()
+	kept := make([]schedule.Kept, len(runs))
+	for i, r := range runs {
+		kept[i] = schedule.Kept{Run: r, Age: a.now().Sub(since[i])}
+	}
+	return kept
+}
+
 // takeOrders takes the orders that are new. The caller holds mu.
 func (a *Agent) takeOrders(args *SyncArgs) {
 	now := a.now()
--- a/site/entry.go
+++ b/site/entry.go
@@ -66,6 +66,7 @@
 	lastHome string
 	sessions map[string]uint64 // by address of a home; see RunArgs
 	jobs     map[string]int    // by address of a home: jobs that it has from here
+	waiting  map[string]int    // by queue: jobs that have not begun, as the home told
 }
 
 // StartEntry starts the daemon.
@@ -96,6 +97,7 @@
 	go e.registerDuty()
 	go e.greetDuty()
 	go e.home.duty()
+	go e.home.ledgerDuty()
 	e.log.Info().Str("life", e.life).Str("node", e.node.Name).Msg("entry started")
 	return e, nil
 }
@@ -222,3 +224,6 @@
 }
 
 func (e *Entry) now() time.Time { return e.clock.Now() }
+
+// wall returns the time of day, for what outlives the process.
+func (e *Entry) wall() time.Time { return clock.System{}.Now() }
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"masticbay/platform"
@@ -47,12 +48,16 @@
 // greeting returns what the entry at an address is told.
 func (e *Entry) greeting(to string) GreetArgs {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	now := e.now()
 	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Entries: e.roster.Addresses(now)}
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
+	home, _ := e.roster.Home(now)
+	e.mu.Unlock()
+	if home.Life == e.life {
+		args.Waiting = e.home.waitingByQueue()
+	}
 	return args
 }
 
@@ -60,6 +65,9 @@
 func (e *Entry) hear(g *GreetReply) {
 	e.mu.Lock()
 	e.roster.Hear(e.now(), g.Member)
+	if home, ok := e.roster.Home(e.now()); ok && home.Life == g.Member.Life {
+		e.waiting = g.Waiting
+	}
 	e.mu.Unlock()
 	e.known.add(g.Member.Address)
 	e.known.add(g.Entries...)
@@ -192,6 +200,23 @@
 	}
 }
 
+// inTouch returns the other entries in contact.
+func (e *Entry) inTouch() []roster.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(e.roster.InContact(e.now())), func(m roster.Member) bool { return m.Life == e.life })
+}
+
+// waitingJobs returns how many jobs of a queue have not begun.
+func (e *Entry) waitingJobs(queue string) int {
+	if e.IsHome() {
+		return e.home.waiting(queue)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.waiting[queue]
+}
+
 // knownAgents returns the agents that announced themselves.
 func (e *Entry) knownAgents() []string {
 	e.mu.Lock()
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if r.URL.Path == prefix && r.Method == http.MethodGet {
-		e.check(platform.WriteWaiting(w, e.home.waiting(q.Name)))
+		e.check(platform.WriteWaiting(w, e.waitingJobs(q.Name)))
 		return
 	}
 	id, ok := platform.JobID(r.URL.Path, prefix)
@@ -51,9 +51,10 @@
 	switch r.Method {
 	case http.MethodPost:
 		e.servePost(w, r, cfg, q, id)
-	case http.MethodGet, http.MethodDelete:
-		// Jobs that are not stored are not asked for.
-		w.WriteHeader(http.StatusGone)
+	case http.MethodGet:
+		e.serveState(w, r, id)
+	case http.MethodDelete:
+		e.serveCancel(w, r, id)
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
@@ -93,8 +94,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if s.Stored || s.Lasting || s.Scheduled || s.Filling {
-		e.requests.Warn().Str("job", id).Bool("stored", s.Stored).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
+	if s.Lasting || s.Scheduled || s.Filling {
+		e.requests.Warn().Str("job", id).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
 		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Minute))
 		return
 	}
@@ -104,7 +105,7 @@
 	ctx, span := telemetry.Span(ctx, "submit")
 	defer span.End()
 	span.SetAttributes(attribute.String("job", id))
-	out := e.run(ctx, s.Job, begun)
+	out := e.serve(ctx, s.Job, begun)
 	took := e.now().Sub(begun)
 	e.metrics.answered(out.State, took)
 	e.requests.Info().Str("job", id).Str("queue", q.Name).Uint64("config", cfg.Version()).Str("state", string(out.State)).
@@ -115,6 +116,14 @@
 	e.check(platform.WriteOutcome(w, out))
 }
 
+// serve has a job stored, or has it run and waits for its end.
+func (e *Entry) serve(ctx context.Context, j work.Job, begun time.Time) work.Outcome {
+	if j.Stored {
+		return e.submitStored(ctx, j, begun)
+	}
+	return e.run(ctx, j, begun)
+}
+
 // waitFor returns a context that ends when the caller has gone or waits no
 // longer, or when this entry has to answer at once.
 func (e *Entry) waitFor(ctx context.Context, left time.Duration) (_ context.Context, release func()) {
--- a/site/home.go
+++ b/site/home.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"masticbay/ledger"
 	"masticbay/schedule"
 	"masticbay/work"
 )
@@ -28,6 +29,24 @@
 	// lastOrder is the number of the last order to any agent. It rises over the
 	// life of the process, longer than links live: agents take no number twice.
 	lastOrder uint64
+	storedJobs
+}
+
+// storedJobs is the part of a home for stored jobs. It is guarded by home.mu but
+// for ledgerDue and way.
+type storedJobs struct {
+	ledgerDue chan struct{}
+	way       *storeWay
+	ledger    *ledger.Ledger
+	found     uint64                        // term as home in which the holder was read
+	wanted    bool                          // a job is to be stored
+	deposed   time.Time                     // when another entry took the ledger
+	stalled   bool                          // the store was logged as silent
+	retry     time.Time                     // no call of the store before
+	former    []string                      // agents that may run tasks of a former holder
+	clear     time.Time                     // when none of these can run any more
+	accepts   map[string][]chan AcceptReply // by job: who waits for it to be stored
+	ends      map[string][]chan struct{}    // by job: who waits for its end to be stored
 }
 
 // contact is what a home knows of an entry that gives it jobs.
@@ -52,6 +71,10 @@
 	return &home{
 		e: e, log: e.requests, due: make(chan struct{}, 1), core: schedule.NewCore(HomeConfig(e.node)),
 		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]contact),
+		storedJobs: storedJobs{
+			ledgerDue: make(chan struct{}, 1), way: newStoreWay(e), ledger: ledger.New(ledgerConfig(e.node), e.life),
+			accepts: make(map[string][]chan AcceptReply), ends: make(map[string][]chan struct{}),
+		},
 	}
 }
 
@@ -91,13 +114,20 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	_, running := h.core.Load()
-	return running > 0 || len(h.waiters) > 0
+	return running > 0 || len(h.waiters) > 0 || h.ledger.Held() && h.ledger.Changed()
 }
 
 func (h *home) waiting(queue string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.core.Waiting(queue)
+	return h.core.Waiting()[queue]
+}
+
+// waitingByQueue returns how many jobs have not begun.
+func (h *home) waitingByQueue() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Waiting()
 }
 
 // run runs a job and waits for its outcome. It returns moved and does nothing
@@ -198,6 +228,8 @@
 	h.e.metrics.waiting.Update(float64(waiting))
 	h.e.metrics.running.Update(float64(running))
 	if acts || running > 0 {
+		h.enroll(now, agents)
+		agents = append(agents, h.unclear(now)...)
 		for _, a := range agents {
 			if _, ok := h.links[a]; !ok {
 				h.links[a] = newLink(h, a)
@@ -255,6 +287,7 @@
 // flush hands out what the core has decided. The caller holds mu.
 func (h *home) flush() {
 	d := h.core.Take()
+	h.save(&d)
 	for _, end := range d.Outcomes {
 		for _, w := range h.waiters[end.Job] {
 			w.done <- end.Outcome
--- a/site/link.go
+++ b/site/link.go
@@ -17,6 +17,7 @@
 	stop    chan struct{}
 	life    string // incarnation of the agent; empty before it was heard
 	echo    time.Duration
+	echoAt  time.Time    // when echo was received
 	orders  []orderBatch // that the agent has not confirmed
 	target  work.Target
 	version uint64
@@ -27,7 +28,7 @@
 // caller holds home.mu.
 func newLink(h *home, agent string) *link {
 	l := &link{h: h, agent: agent, client: wire.NewClient(agent, rpcOptions(h.e.network)), stop: make(chan struct{})}
-	l.life, _ = h.core.Acked(agent)
+	l.life, _ = h.core.Taken(agent)
 	go l.duty()
 	return l
 }
@@ -87,9 +88,10 @@
 func (l *link) sync(wait time.Duration) bool {
 	l.h.mu.Lock()
 	args := SyncArgs{Home: l.h.e.life, Life: l.life, Echo: l.echo, Orders: l.orders, Target: l.version, Wait: wait}
-	if life, acked := l.h.core.Acked(l.agent); life == l.life {
-		args.Acked = acked
+	if life, known := l.h.core.Taken(l.agent); life == l.life {
+		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
 	}
+	args.Tenure = l.tenure()
 	l.h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
 	defer cancel()
@@ -113,6 +115,21 @@
 	return true
 }
 
+// tenure returns what the agent is told about the ledger. The caller holds
+// home.mu.
+func (l *link) tenure() (t tenureArgs) {
+	h := l.h
+	t.Vacant = h.ledger.Vacant()
+	if l.echo == 0 || h.ledger.Epoch() == 0 {
+		return t
+	}
+	t.Epoch = h.ledger.Epoch()
+	// The agent's time was at least echo at echoAt.
+	t.Owned = l.echo + h.ledger.Owned().Sub(l.echoAt)
+	t.Kept = !h.core.Confirmed(l.agent)
+	return t
+}
+
 // take takes a reply. The caller holds home.mu.
 func (l *link) take(rep *SyncReply) {
 	if rep.Report.Life != l.life {
@@ -123,7 +140,9 @@
 		l.version = rep.Target
 	}
 	stale := rep.Stamp < l.echo
-	l.echo = max(l.echo, rep.Stamp)
+	if rep.Stamp > l.echo {
+		l.echo, l.echoAt = rep.Stamp, l.h.e.now()
+	}
 	for len(l.orders) > 0 && l.orders[0].Seq <= rep.Taken {
 		l.orders = l.orders[1:]
 	}
--- a/site/messages.go
+++ b/site/messages.go
@@ -16,6 +16,10 @@
 	entryRun      = "Entry.Run"
 	entryWithdraw = "Entry.Withdraw"
 	entryConfig   = "Entry.Config"
+	entryAccept   = "Entry.Accept"
+	entryState    = "Entry.State"
+	entryCancel   = "Entry.Cancel"
+	entryStore    = "Entry.Store"
 )
 
 // orderBatch is what a home wants of an agent, under a number that rises.
@@ -35,10 +39,20 @@
 	Echo   time.Duration
 	Orders []orderBatch
 	Acked  uint64        // events up to this number are forgotten
+	Known  uint64        // events up to this number are known; the agent need not hurry to tell them
+	Tenure tenureArgs    // of the home
 	Target uint64        // version of the worker's description that the home has
 	Wait   time.Duration // for news
 }
 
+// tenureArgs tells an agent whether a home holds the ledger.
+type tenureArgs struct {
+	Epoch  uint64        // 0: it does not
+	Vacant bool          // nothing is stored on the site
+	Owned  time.Duration // agent's own time when the home was known to hold it
+	Kept   bool          // the home wants to know what the agent keeps
+}
+
 // SyncReply is what an agent tells a home.
 type SyncReply struct {
 	Stamp  time.Duration   // the agent's time
@@ -61,9 +75,10 @@
 // GreetArgs is exchanged between entries.
 type GreetArgs struct {
 	Member  roster.Member
-	Session uint64   // of the sender at the receiver; see RunArgs
-	Entries []string // that the sender knows
-	Config  uint64   // version of the configuration that it has in force
+	Session uint64         // of the sender at the receiver; see RunArgs
+	Entries []string       // that the sender knows
+	Config  uint64         // version of the configuration that it has in force
+	Waiting map[string]int // by queue: stored jobs that have not begun, if the sender is home
 }
 
 // GreetReply is the receiver's side.
@@ -100,3 +115,28 @@
 type ConfigReply struct {
 	Raw []byte
 }
+
+// AcceptArgs hands a job to the home to be stored.
+type AcceptArgs struct {
+	Job work.Job
+}
+
+// AcceptReply tells whether it is stored.
+type AcceptReply struct {
+	Outcome work.Outcome // Queued once it is stored
+	Moved   bool         // the receiver does not hold the ledger, and did nothing
+}
+
+// JobArgs names a stored job.
+type JobArgs struct {
+	ID string
+}
+
+// StateReply tells the state of a stored job.
+type StateReply struct {
+	State work.State // empty if there is no such job
+	Moved bool       // the receiver does not hold the ledger
+}
+
+// CancelReply tells the state after a cancellation.
+type CancelReply StateReply
--- a/site/site.go
+++ b/site/site.go
@@ -71,6 +71,22 @@
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
 
+// The ledger of stored jobs.
+const (
+	tenureLife    = 5 * time.Second                                 // how long a holder may go on without the store; its outages last that long
+	tenureMargin  = time.Second                                     // before the end of it no task is placed any more
+	tenureClear   = tenureLife + workerLease + 500*time.Millisecond // from a claim on: no run of a former holder is left; a tick, a stop and slack included
+	ledgerRefresh = 700 * time.Millisecond                          // between commits, far more often than tenureLife
+	ledgerGap     = 10 * time.Millisecond                           // between commits; as long as two answers of the store take
+	ledgerRetry   = 60 * time.Millisecond                           // after a commit that was not answered
+	ledgerEntries = 32                                              // most conditions, writes and deletions of a commit that the store takes
+	ledgerStalled = 600 * time.Millisecond                          // without an answer from the store: no job is accepted
+	claimPause    = 2 * time.Second                                 // before a home claims the ledger again that another one took from it
+	statusKept    = 20 * time.Second                                // how long an ended job is kept beyond what callers are promised
+	stateWait     = 500 * time.Millisecond                          // for the end of a running job that a caller asks about
+	stateFallback = 400 * time.Millisecond                          // without an answer from the holder: the store is asked
+)
+
 // requestLines bounds the lines about single jobs and runs, a second and process,
 // if the settings do not.
 // A home writes one for each job, up to 155 a second on standard days of the small
@@ -85,7 +101,7 @@
 
 // GuardConfig returns the limits by which an agent judges its worker.
 func GuardConfig(n *platform.Node) worker.Config {
-	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, IdleAge: idleAge}
+	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, Tenure: tenureLife, IdleAge: idleAge}
 }
 
 // HomeConfig returns the limits by which a home places tasks.
--- a/store/memory.go
+++ b/store/memory.go
@@ -122,6 +122,30 @@
 	return m.write(key, value, ""), true, nil
 }
 
+// Commit carries out c. The error is a *ConflictError if its guard has another
+// revision.
+func (m *Memory) Commit(c *Commit) (rev uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lapse()
+	if have := m.items[c.Guard].Item; c.Guard != "" && have.Revision != c.Revision {
+		have.Key = c.Guard
+		return 0, &ConflictError{Have: have}
+	}
+	m.rev++
+	for _, w := range c.Writes {
+		m.items[w.Key] = memoryItem{Item: Item{Key: w.Key, Value: slices.Clone(w.Value), Revision: m.rev}}
+	}
+	for _, key := range c.Deletes {
+		if _, ok := m.items[key]; ok {
+			delete(m.items, key)
+			m.marks[key] = m.rev
+		}
+	}
+	m.wake()
+	return m.rev, nil
+}
+
 func (m *Memory) write(key string, value []byte, lease string) uint64 {
 	m.rev++
 	m.items[key] = memoryItem{Item: Item{Key: key, Value: slices.Clone(value), Revision: m.rev}, lease: lease}
--- a/store/store.go
+++ b/store/store.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -46,6 +47,29 @@
 // ErrUnavailable is the cause of an error of a service that does not answer.
 const ErrUnavailable = errors.ConstError("key-value service unavailable")
 
+// ErrRefused is the cause of an error of a write that was refused: nothing was
+// done.
+const ErrRefused = errors.ConstError("key-value service refused the call")
+
+// Commit is a set of writes and deletions that is carried out whole or not at
+// all. Only Key and Value of the writes are used.
+type Commit struct {
+	Guard    string // key that must have Revision; empty for no condition
+	Revision uint64 // 0: the key must not exist
+	Writes   []Item
+	Deletes  []string
+}
+
+// ConflictError tells that the guard of a Commit has another revision.
+type ConflictError struct {
+	Have Item // the guard as it is; with revision 0 if it does not exist
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q has revision %d", e.Have.Key, e.Have.Revision)
+}
+
 // ErrNoLease is the cause of an error about a lease that has lapsed.
 const ErrNoLease = errors.ConstError("lease has lapsed")
 
--- a/work/work.go
+++ b/work/work.go
@@ -29,9 +29,9 @@
 
 // Room is what a task needs of a worker, or what a worker offers.
 type Room struct {
-	CPU    int // thousandths of a core
-	Memory int // MB
-	GPUs   int
+	CPU    int `json:"cpu"`              // thousandths of a core
+	Memory int `json:"memory,omitempty"` // MB
+	GPUs   int `json:"gpus,omitempty"`
 }
 
 // Add returns the sum of two rooms.
@@ -51,27 +51,27 @@
 
 // Step is a number of equal tasks.
 type Step struct {
-	Count       int
-	Room        Room
-	Estimate    time.Duration // rough run time of a task; 0 if unknown
-	After       []int         // earlier steps that must be done first
-	Label       string        // label that a worker must have; empty for any
-	Affinity    string        // rack that is near the data; empty for any
-	MaxPerOne   int           // most tasks of the step on one worker; 0 for any number
-	Gang        bool          // all tasks start together or none
-	SameRack    bool          // slower if the tasks run on more than one rack
-	Checkpoint  bool          // the tasks save their progress
-	Speculative bool          // copies may run side by side
+	Count       int           `json:"count"`
+	Room        Room          `json:"room"`
+	Estimate    time.Duration `json:"estimate,omitempty"`   // rough run time of a task; 0 if unknown
+	After       []int         `json:"after,omitempty"`      // earlier steps that must be done first
+	Label       string        `json:"label,omitempty"`      // label that a worker must have; empty for any
+	Affinity    string        `json:"affinity,omitempty"`   // rack that is near the data; empty for any
+	MaxPerOne   int           `json:"maxPerOne,omitempty"`  // most tasks of the step on one worker; 0 for any number
+	Gang        bool          `json:"gang,omitempty"`       // all tasks start together or none
+	SameRack    bool          `json:"oneRack,omitempty"`    // slower if the tasks run on more than one rack
+	Checkpoint  bool          `json:"checkpoint,omitempty"` // the tasks save their progress
+	Speculative bool          `json:"copies,omitempty"`     // copies may run side by side
 }
 
 // Queue is what the operator configured for the jobs of one kind.
 type Queue struct {
-	Name        string
-	Service     string
-	Priority    int // 0 goes first
-	MaxAttempts int // failed runs of a task after which its job has failed
-	Stretch     float64
-	Target      time.Duration
+	Name        string        `json:"name"`
+	Service     string        `json:"service"`
+	Priority    int           `json:"priority,omitempty"` // 0 goes first
+	MaxAttempts int           `json:"maxAttempts"`        // failed runs of a task after which its job has failed
+	Stretch     float64       `json:"stretch,omitempty"`
+	Target      time.Duration `json:"target,omitempty"`
 }
 
 // Objective returns how long after its submission a job should have ended when
@@ -82,13 +82,14 @@
 
 // Job is what a caller submitted.
 type Job struct {
-	ID    string
-	Queue Queue
-	Spec  string
-	Steps []Step
-	Left  time.Duration // how long the caller waits, from when the job was handed over
-	Trace string        // W3C traceparent of the hop before; empty if it is not traced
-	Age   time.Duration // how long the system has had the job when it was handed over
+	ID     string        `json:"id"`
+	Queue  Queue         `json:"queue"`
+	Spec   string        `json:"spec,omitempty"`
+	Steps  []Step        `json:"steps"`
+	Stored bool          `json:"stored,omitempty"` // it outlives processes; its caller does not wait for its end
+	Left   time.Duration `json:"left,omitempty"`   // how long the caller waits, from when the job was handed over
+	Trace  string        `json:"trace,omitempty"`  // W3C traceparent of the hop before; empty if it is not traced
+	Age    time.Duration `json:"age,omitempty"`    // how long the system has had the job when it was handed over
 }
 
 // Tasks returns the number of tasks of all steps.
@@ -201,6 +202,7 @@
 	Expected   time.Duration // on the worker that it goes to; 0 if unknown
 	Trace      string        // of the job's hop to its home
 	Checkpoint string        // where to resume; empty for the beginning
+	Stored     bool          // its job is stored
 }
 
 // Target describes a worker as it reports itself.
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -14,6 +14,8 @@
 	End    work.End
 	Reason string        // for Refused: why
 	Took   time.Duration // from the order to the end
+	Stored bool          // its job is stored
+	number uint64        // under which the worker lists the end until it is saved; 0 if it need not
 }
 
 type session struct {
@@ -51,6 +53,7 @@
 	s := g.session(entry)
 	i := 0
 	for i < len(s.events) && s.events[i].Seq <= acked {
+		g.saved(s.events[i].number)
 		i++
 	}
 	s.events = slices.Delete(s.events, 0, i)
@@ -71,6 +74,8 @@
 			stopped = append(stopped, r.start.Run)
 		}
 	}
+	g.voidSilent(now)
+	g.lapsed(now)
 	for name, s := range g.sessions {
 		if now.Sub(s.heard) > g.cfg.Forget && !g.serves(name) {
 			delete(g.sessions, name)
--- a/worker/look.go
+++ b/worker/look.go
@@ -59,8 +59,10 @@
 	if l.Born != 0 && l.Born < g.target.Born {
 		return
 	}
-	g.silent, g.looked = false, now
+	g.begin(now)
 	g.readClock(now, l.Clock)
+	g.startle(now, &l)
+	g.silent, g.looked = false, now
 	if g.token == 0 {
 		g.raise()
 	}
@@ -71,10 +73,11 @@
 		}
 		g.seen = e.Number
 		if r, ok := g.runs[e.Run.Task]; ok && r.start.Run == e.Run {
-			g.finish(now, e.Run.Task, e.End, "")
+			g.finishListed(now, e.Run.Task, e.Number, e.End, "")
 		}
 	}
 	g.compare(now, l)
+	g.lapsed(now)
 }
 
 // compare brings the runs into line with those that the worker listed.
--- a/worker/order.go
+++ b/worker/order.go
@@ -24,7 +24,7 @@
 		}
 	}
 	for _, s := range starts {
-		if why := g.refusal(now, echo, s); why != "" {
+		if why := g.refusal(now, entry, echo, &s); why != "" {
 			g.tell(entry, Event{Run: s.Run, End: work.Refused, Reason: why})
 			continue
 		}
@@ -37,17 +37,20 @@
 // The reasons with which an agent refuses a start by itself.
 const (
 	Unready   = "unready"   // the worker is not known, drains, or is silent
+	Untenured = "untenured" // the entry does not hold the ledger, as far as is known here
 	StaleEcho = "staleEcho" // the order may have been on its way for long
 	Occupied  = "occupied"  // another run of the task has not ended here
 	NoRoom    = "noRoom"
 )
 
-func (g *Guard) refusal(now, echo time.Time, s work.Start) string {
+func (g *Guard) refusal(now time.Time, entry string, echo time.Time, s *work.Start) string {
 	all, _ := g.Used("")
 	_, twice := g.runs[s.Run.Task]
 	switch {
-	case !g.known || g.leaving || g.target.Draining || g.silent || g.token == 0:
+	case !g.known || g.leaving || g.target.Draining || g.silent || g.token == 0 || !g.lapsing.IsZero():
 		return Unready
+	case s.Stored && !g.owns(now, entry):
+		return Untenured
 	case now.Sub(echo) > g.cfg.OrderLife:
 		return StaleEcho
 	case twice:
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -47,6 +47,7 @@
 	OrderLife    time.Duration // oldest echo with which an order is taken
 	Forget       time.Duration // how long events of a silent entry are kept
 	Silence      time.Duration // time without an answered look after which the worker gets no task
+	Tenure       time.Duration // how long a tenure counts after it was last known to hold
 	IdleAge      time.Duration // least time without progress after which a run counts as idle
 }
 
@@ -94,6 +95,12 @@
 	runs     map[work.TaskRef]*run
 	sessions map[string]*session
 	orders   []Order
+	since    time.Time // begin of this Guard
+	owner    string    // entry that holds the tenure
+	tenure   Tenure
+	unsaved  []uint64  // ends that the worker must not forget yet
+	strange  bool      // ends of an earlier incarnation of the agent may be among those that are listed
+	lapsing  time.Time // since when the lease is not renewed; zero if it is
 }
 
 // NewGuard returns a Guard of a worker that has not reported yet.
@@ -107,9 +114,6 @@
 // Token returns the token for the next order.
 func (g *Guard) Token() uint64 { return g.token }
 
-// Seen returns the number of the last end that was taken note of.
-func (g *Guard) Seen() uint64 { return g.seen }
-
 // Settled reports whether nothing runs that this Guard did not order.
 func (g *Guard) Settled() bool { return g.settled }
 
@@ -124,6 +128,7 @@
 	if g.known && t.Born != 0 && g.target.Born != 0 && t.Born < g.target.Born {
 		return // delayed; from an earlier life
 	}
+	g.begin(now)
 	g.newLife(now, t.Born, clock)
 	if t.Born == 0 {
 		t.Born = g.target.Born
@@ -135,6 +140,12 @@
 	}
 }
 
+func (g *Guard) begin(now time.Time) {
+	if g.since.IsZero() {
+		g.since = now
+	}
+}
+
 // Leave takes the worker's word that it ends now.
 func (g *Guard) Leave() { g.leaving = true }
 
@@ -159,6 +170,12 @@
 		r.phase, r.reborn = unclear, true
 	}
 	g.raise()
+	g.unsaved, g.strange, g.lapsing = nil, false, time.Time{}
+	for _, s := range g.sessions {
+		for i := range s.events {
+			s.events[i].number = 0
+		}
+	}
 	g.pace = Pace{}
 	g.settled = false // until a look shows it
 }
@@ -186,7 +203,7 @@
 
 // Until returns the end of the lease for an order that is sent now.
 func (g *Guard) Until(now time.Time) time.Duration {
-	if g.clock == 0 {
+	if g.clock == 0 || !g.lapsing.IsZero() {
 		return 0
 	}
 	until := g.clock + now.Sub(g.clockAt) + g.cfg.Lease
@@ -214,10 +231,23 @@
 
 // finish removes a run and tells its entry.
 func (g *Guard) finish(now time.Time, ref work.TaskRef, how work.End, why string) {
+	g.finishListed(now, ref, 0, how, why)
+}
+
+// finishListed is finish for an end that the worker lists under a number.
+func (g *Guard) finishListed(now time.Time, ref work.TaskRef, number uint64, how work.End, why string) {
 	r := g.runs[ref]
 	delete(g.runs, ref)
+	e := Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent), Stored: r.start.Stored}
+	if e.Stored && number > 0 && (how == work.Done || how == work.Failed) {
+		e.number = number
+		g.keep(number)
+		if !g.lapsing.IsZero() {
+			e.void()
+		}
+	}
 	if how == work.Done {
 		g.pace.add(now.Sub(r.sent), r.start.Estimate)
 	}
-	g.tell(r.entry, Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent)})
+	g.tell(r.entry, e)
 }
