--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -141,6 +141,9 @@
 		return
 	}
 	t.tenure = r.Epoch
+	c.note(Note{Agent: t.agent, What: "tenureConfirmed", Why: "the agent obeys this home for stored jobs", Values: map[string]float64{
+		"epoch": float64(r.Epoch), "runs": float64(len(r.Kept)), "events": float64(len(r.Events)), "taken": float64(t.seq),
+	}})
 	for _, k := range r.Kept {
 		j, ok := c.jobs[k.Run.Task.Job]
 		if !ok || !j.Stored || j.over || j.tasks[k.Run.Task.Step][k.Run.Task.Index].state != pending {
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -19,8 +19,7 @@
 	a.mu.Lock()
 	a.guard.Hear(args.Home, unstamp(args.Echo))
 	if args.Life == a.life {
-		t := &args.Tenure
-		a.guard.Own(a.now(), args.Home, worker.Tenure{Epoch: t.Epoch, Vacant: t.Vacant, Owned: unstamp(t.Owned)})
+		a.own(args)
 	}
 	if args.Life == a.life {
 		a.takeOrders(args)
@@ -55,6 +54,18 @@
 	return len(events) > 0 && events[len(events)-1].Seq > known
 }
 
+// own takes what a home tells about the ledger. The caller holds mu.
+func (a *Agent) own(args *SyncArgs) {
+	t := &args.Tenure
+	before := a.guard.Epoch()
+	a.guard.Own(a.now(), args.Home, worker.Tenure{Epoch: t.Epoch, Vacant: t.Vacant, Owned: unstamp(t.Owned)})
+	if after := a.guard.Epoch(); after != before {
+		runs, _ := a.guard.Kept()
+		a.log.Info().Str("home", args.Home).Uint64("epoch", after).Uint64("before", before).Int("runs", len(runs)).
+			Int("unsavedEnds", len(a.guard.Unsaved())).Uint64("seen", a.guard.Seen()).Msg("another home holds the ledger")
+	}
+}
+
 // kept returns the runs of stored jobs. The caller holds mu.
 func (a *Agent) kept() []schedule.Kept {
 	runs, since := a.guard.Kept()
--- a/site/link.go
+++ b/site/link.go
@@ -120,8 +120,8 @@
 func (l *link) tenure() (t tenureArgs) {
 	h := l.h
 	t.Vacant = h.ledger.Vacant()
-	if l.echo == 0 || h.ledger.Epoch() == 0 {
-		return t
+	if l.echo == 0 || !h.ledger.Held() {
+		return t // the core would not know the jobs of what the agent tells
 	}
 	t.Epoch = h.ledger.Epoch()
 	// The agent's time was at least echo at echoAt.
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -167,6 +167,10 @@
 	return g.seen
 }
 
+// Unsaved returns the numbers of the ends that the worker must not forget before
+// they are saved.
+func (g *Guard) Unsaved() []uint64 { return g.unsaved }
+
 // Holding reports whether the worker lists ends that it must not forget yet. A
 // look that waits for an end then returns at once.
 func (g *Guard) Holding() bool { return g.strange || len(g.unsaved) > 0 }
