Greet a panel of entries instead of all of them; tell it to agents

Ruled out: the load, which is the same at 30, 100 and 300 machines. Change: entries greet the home and the five strongest others; agents announce themselves to these; the list of all entries is not sent any more. Exchanges with agents wait longer on sites of more than 100.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,7 +6,10 @@
 // Entries greet one another. Each tells whether it acts as home, under which
 // term, and how many agents it hears of. An entry follows the home of the
 // highest term that is in contact and hears of enough agents. If there is none,
-// the strongest entry in contact takes the next term. Two entries may act as
+// the strongest entry in contact takes the next term. All entries greet a panel:
+// the home and the strongest ones, of which one will be the next home. Agents
+// announce themselves to the panel only, so that what each process spends on
+// contact hardly grows with the site. Two entries may act as
 // home for a while, for example on both sides of a cut: agents decide on the
 // room of their workers themselves and so serve both.
 //
@@ -29,6 +32,7 @@
 	Silence     time.Duration // after which another entry does
 	Listen      time.Duration // from the start, before an entry makes itself home
 	Forget      time.Duration // after which nothing is kept about a silent entry
+	Panel       int           // most entries on the panel that are not home
 }
 
 // Member is what an entry tells about itself.
@@ -80,6 +84,7 @@
 		return
 	}
 	r.top = max(r.top, m.Term)
+	r.forget(now)
 	r.peers[m.Address] = &peer{Member: m, heard: now}
 }
 
@@ -166,14 +171,31 @@
 	return a.Name < b.Name
 }
 
-// Addresses returns all entries that are known, in contact or not.
-func (r *Roster) Addresses(now time.Time) []string {
-	addresses := []string{r.self.Address}
+// Panel returns the addresses of the home and of the strongest entries in contact
+// that stay, the strongest first.
+func (r *Roster) Panel(now time.Time) []string {
+	members := append(r.InContact(now), r.Self(now))
+	members = slices.DeleteFunc(members, func(m Member) bool { return m.Leaving && m.Term == 0 })
+	slices.SortFunc(members, func(a, b Member) int {
+		if stronger(&a, &b) {
+			return -1
+		}
+		return 1
+	})
+	var panel []string
+	for i := range members {
+		if i < r.cfg.Panel || members[i].Term > 0 {
+			panel = append(panel, members[i].Address)
+		}
+	}
+	return panel
+}
+
+// forget drops entries that have been silent for long.
+func (r *Roster) forget(now time.Time) {
 	for a, p := range r.peers {
-		if !p.heard.IsZero() && now.Sub(p.heard) <= r.cfg.Forget {
-			addresses = append(addresses, a)
+		if now.Sub(p.heard) > r.cfg.Forget {
+			delete(r.peers, a)
 		}
 	}
-	slices.Sort(addresses)
-	return addresses
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,34 @@
 	r.Hear(ready, member("b", 2))
 	wantHome(t, r, ready, "b")
 }
+
+func TestPanelIsTheStrongestAndTheHome(t *testing.T) {
+	few := cfg
+	few.Panel = 2
+	r := roster.New(begin, member("c", 0), few)
+	strong := member("d", 0)
+	strong.Cores = 0.8
+	home := member("z", 3)
+	home.Cores = 0.2
+	leaving := member("a", 0)
+	leaving.Leaving = true
+	for _, m := range []roster.Member{strong, home, leaving, member("b", 0), member("e", 0)} {
+		r.Hear(ready, m)
+	}
+	if got, want := r.Panel(ready), []string{"d:1", "b:1", "z:1"}; !slices.Equal(got, want) {
+		t.Errorf("panel %v, want %v", got, want)
+	}
+}
+
+func TestPanelLeavesOutSilentEntries(t *testing.T) {
+	few := cfg
+	few.Panel = 1
+	r := roster.New(begin, member("b", 0), few)
+	r.Hear(begin, member("a", 0))
+	if got := r.Panel(begin); !slices.Equal(got, []string{"a:1"}) {
+		t.Errorf("panel %v while a is in contact", got)
+	}
+	if got := r.Panel(begin.Add(cfg.Silence + time.Millisecond)); !slices.Equal(got, []string{"b:1"}) {
+		t.Errorf("panel %v after a was silent", got)
+	}
+}
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -18,7 +18,7 @@
 	// Until is when the right ends if it is not renewed.
 	Until time.Time
 	// Agents are those that may get tasks.
-	Agents []string
+	Agents map[string]bool
 	// Former are those that a former holder may have given tasks. No task is
 	// placed until each of them has confirmed this tenure, or Clear, when the
 	// leases of a holder without contact have ended.
@@ -214,7 +214,7 @@
 
 // obeys reports whether a worker's agent takes tasks of stored jobs from here.
 func (c *Core) obeys(t *target) bool {
-	return t.tenure == c.tenure.Epoch && slices.Contains(c.tenure.Agents, t.agent)
+	return t.tenure == c.tenure.Epoch && c.tenure.Agents[t.agent]
 }
 
 // age puts the jobs behind the others of their priority that can no longer be in
--- a/site/agent.go
+++ b/site/agent.go
@@ -74,7 +74,7 @@
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(GuardConfig(o.Node)), news: make(chan struct{}), taken: make(map[string]uint64),
 	}
-	a.entries.add(o.Node.Entries...)
+	a.entries.add(a.now(), o.Node.Entries...)
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 func (a *Agent) Done() <-chan struct{} { return nil }
 
 // Reload takes changed settings; see Entry.Reload.
-func (a *Agent) Reload(n *platform.Node) { a.entries.add(n.Entries...) }
+func (a *Agent) Reload(n *platform.Node) { a.entries.add(a.now(), n.Entries...) }
 
 // Stop takes no new tasks, waits for those that run until ctx ends, and ends.
 func (a *Agent) Stop(ctx context.Context) error {
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -12,53 +12,71 @@
 // entryList is the set of entry addresses that a process knows. Its zero value
 // is empty and ready to use.
 type entryList struct {
-	mu        sync.Mutex // guards addresses
-	addresses []string   // the one that was told longest ago first
+	mu        sync.Mutex   // guards addresses
+	addresses []knownEntry // the one that was told longest ago first
+}
+
+type knownEntry struct {
+	address string
+	told    time.Time
 }
 
 // maxEntries bounds the list, since addresses that are no longer used stay in
-// it: several times the entries of the largest site.
+// it: several times the panel.
 const maxEntries = 64
 
-func (l *entryList) add(addresses ...string) {
+func (l *entryList) add(now time.Time, addresses ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range addresses {
 		if a == "" {
 			continue
 		}
-		if i := slices.Index(l.addresses, a); i >= 0 {
-			l.addresses = slices.Delete(l.addresses, i, i+1)
-		}
-		l.addresses = append(l.addresses, a)
+		l.addresses = slices.DeleteFunc(l.addresses, func(e knownEntry) bool { return e.address == a })
+		l.addresses = append(l.addresses, knownEntry{a, now})
 		if len(l.addresses) > maxEntries {
 			l.addresses = slices.Delete(l.addresses, 0, 1)
 		}
 	}
 }
 
-func (l *entryList) all() []string {
+// since returns the addresses that were told at a time or later.
+func (l *entryList) since(t time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Clone(l.addresses)
+	var recent []string
+	for _, e := range l.addresses {
+		if !e.told.Before(t) {
+			recent = append(recent, e.address)
+		}
+	}
+	return recent
 }
 
-// announceDuty tells all entries of this agent, each in a goroutine of its own,
-// so that one that is out of contact does not delay the others.
+// all returns all addresses.
+func (l *entryList) all() []string { return l.since(time.Time{}) }
+
+// announceDuty tells the entries of the panel of this agent, each in a goroutine
+// of its own, so that one that is out of contact does not delay the others. While
+// none answers, it tells all entries that it knows.
 func (a *Agent) announceDuty() {
-	told := make(map[string]bool)
+	told := make(map[string]context.CancelFunc)
+	defer func() {
+		for _, stop := range told {
+			stop()
+		}
+	}()
 	var lookup time.Time
 	for {
-		for _, address := range a.entries.all() {
-			if !told[address] {
-				told[address] = true
-				go a.announceTo(address)
-			}
-		}
 		now := a.now()
 		a.mu.Lock()
 		lonely := now.Sub(a.answered) > announceEvery
 		a.mu.Unlock()
+		panel := a.entries.since(now.Add(-panelKnown))
+		if lonely {
+			panel = a.entries.all()
+		}
+		a.announceToAll(told, panel)
 		if lonely && now.Sub(lookup) > entryLookup {
 			lookup = now
 			go a.findEntries()
@@ -71,11 +89,32 @@
 	}
 }
 
+// announceToAll makes told the announcements to the entries of the panel.
+func (a *Agent) announceToAll(told map[string]context.CancelFunc, panel []string) {
+	for _, address := range panel {
+		if _, ok := told[address]; !ok {
+			ctx, stop := context.WithCancel(context.Background())
+			told[address] = stop
+			go a.announceTo(ctx, address)
+		}
+	}
+	for address, stop := range told {
+		if !slices.Contains(panel, address) {
+			stop()
+			delete(told, address)
+		}
+	}
+}
+
+// panelKnown is how long an entry is announced to that no entry names any more: a
+// few announcements may get no answer.
+const panelKnown = 4 * announceEvery
+
 // entryLookup is the pause between looks for entries in the store.
 const entryLookup = 3 * time.Second
 
 // announceTo tells one entry again and again.
-func (a *Agent) announceTo(address string) {
+func (a *Agent) announceTo(ctx context.Context, address string) {
 	c := wire.NewClient(address, rpcOptions(a.network))
 	defer c.Close()
 	begun := a.now()
@@ -85,7 +124,7 @@
 			pause = announceSoon
 		}
 		select {
-		case <-a.stop:
+		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
@@ -102,7 +141,7 @@
 		c.Reset()
 		return false
 	}
-	a.entries.add(rep.Entries...)
+	a.entries.add(a.now(), rep.Panel...)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.answered = a.now()
@@ -129,7 +168,7 @@
 		return
 	}
 	for _, it := range items {
-		a.entries.add(string(it.Value))
+		a.entries.add(a.now(), string(it.Value))
 	}
 }
 
--- a/site/entry.go
+++ b/site/entry.go
@@ -85,7 +85,7 @@
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
 	e.home = newHome(e)
-	e.known.add(o.Node.Entries...)
+	e.known.add(e.now(), o.Node.Entries...)
 	if e.rpc, err = wire.NewServer("Entry", &entryMethods{e}, nil); err != nil {
 		return nil, err
 	}
@@ -160,7 +160,7 @@
 
 // Reload takes changed settings. Addresses and limits of a VM do not change
 // during the life of a process; entries may.
-func (e *Entry) Reload(n *platform.Node) { e.known.add(n.Entries...) }
+func (e *Entry) Reload(n *platform.Node) { e.known.add(e.now(), n.Entries...) }
 
 // Stop lets the balancer notice, hands the part of the home over, and serves
 // what is open until shortly before ctx ends. The balancer may go on to send
--- a/site/entry_list_test.go
+++ b/site/entry_list_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // TestListKeepsTheEntriesThatAreStillTold: addresses of entries that were
@@ -11,7 +12,7 @@
 func TestListKeepsTheEntriesThatAreStillTold(t *testing.T) {
 	var l entryList
 	for i := range 3 * maxEntries {
-		l.add("steady", fmt.Sprint("replaced", i), "")
+		l.add(time.Time{}, "steady", fmt.Sprint("replaced", i), "")
 	}
 	all := l.all()
 	if len(all) != maxEntries || !slices.Contains(all, "steady") || !slices.Contains(all, fmt.Sprint("replaced", 3*maxEntries-1)) {
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -21,7 +21,7 @@
 	e.mu.Lock()
 	_, known := e.agents[args.Address]
 	e.agents[args.Address] = e.now()
-	reply.Entries = e.roster.Addresses(e.now())
+	reply.Panel = e.roster.Panel(e.now())
 	e.mu.Unlock()
 	if !known {
 		e.log.Info().Str("agent", args.Address).Str("service", args.Service).Msg("agent found")
@@ -49,7 +49,7 @@
 func (e *Entry) greeting(to string) GreetArgs {
 	e.mu.Lock()
 	now := e.now()
-	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Entries: e.roster.Addresses(now)}
+	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
@@ -69,28 +69,30 @@
 		e.waiting = g.Waiting
 	}
 	e.mu.Unlock()
-	e.known.add(g.Member.Address)
-	e.known.add(g.Entries...)
+	e.known.add(e.now(), g.Panel...)
 	e.home.heard(g.Member.Life, g.Session)
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
 }
 
-// greetDuty greets the home often and other entries now and then.
+// greetDuty greets the home often, the panel now and then, and one of the other
+// entries that are known with each round of the panel, so that parts of a site that
+// do not know each other become one.
 func (e *Entry) greetDuty() {
 	tick := time.NewTicker(greetHome)
 	defer tick.Stop()
 	last := make(map[string]time.Time)
+	var other time.Time
 	for {
 		e.follow()
-		home, _ := e.currentHome()
 		now := e.now()
-		for _, address := range e.known.all() {
-			often := home.Address == "" || address == home.Address || e.hasJobsAt(address)
-			if address == e.node.Internal || !often && now.Sub(last[address]) < greetOthers {
-				continue
-			}
+		due, rest, lost := e.greetNow(now, last)
+		if lost || now.Sub(other) >= greetOthers {
+			other = now
+			due = append(due, oldest(rest, last, lost)...)
+		}
+		for _, address := range due {
 			last[address] = now
 			go e.greet(address)
 		}
@@ -102,6 +104,37 @@
 	}
 }
 
+// greetNow returns the entries to greet now, those that are known and need not be
+// greeted regularly, and whether no home is known.
+func (e *Entry) greetNow(now time.Time, last map[string]time.Time) (due, rest []string, lost bool) {
+	home, ok := e.currentHome()
+	e.mu.Lock()
+	panel := e.roster.Panel(now)
+	e.mu.Unlock()
+	for _, address := range e.known.all() {
+		onPanel := slices.Contains(panel, address)
+		often := address == home.Address || e.hasJobsAt(address) || onPanel && !ok
+		switch {
+		case address == e.node.Internal:
+		case often, onPanel && now.Sub(last[address]) >= greetOthers:
+			due = append(due, address)
+		case !onPanel:
+			rest = append(rest, address)
+		}
+	}
+	return due, rest, !ok
+}
+
+// oldest returns the address that was greeted longest ago, or as many as there are
+// on a panel while no home is known.
+func oldest(addresses []string, last map[string]time.Time, lost bool) []string {
+	slices.SortStableFunc(addresses, func(a, b string) int { return last[a].Compare(last[b]) })
+	if lost {
+		return addresses[:min(panelSize, len(addresses))]
+	}
+	return addresses[:min(1, len(addresses))]
+}
+
 // hasJobsAt reports whether a home has jobs from here.
 func (e *Entry) hasJobsAt(address string) bool {
 	e.mu.Lock()
@@ -236,7 +269,7 @@
 		items, err := e.store.List(ctx, entriesPrefix)
 		if err == nil {
 			for _, it := range items {
-				e.known.add(string(it.Value))
+				e.known.add(e.now(), string(it.Value))
 			}
 			err = e.store.Put(ctx, entriesPrefix+e.node.Name, []byte(e.node.Internal))
 		}
--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -37,7 +37,7 @@
 			own := e.home.accept(ctx, &args)
 			rep = &own
 		} else {
-			rep, err = callHome[AcceptArgs, AcceptReply](e, ctx, m, entryAccept, &args)
+			rep, err = callHome[AcceptArgs, AcceptReply](ctx, e, m, entryAccept, &args)
 		}
 		switch {
 		case err == nil && !rep.Moved:
@@ -62,7 +62,7 @@
 }
 
 // callHome calls another entry as long as it is in contact.
-func callHome[A, R any](e *Entry, ctx context.Context, m roster.Member, method string, args *A) (*R, error) {
+func callHome[A, R any](ctx context.Context, e *Entry, m roster.Member, method string, args *A) (*R, error) {
 	session := e.enter(m.Address)
 	defer e.exit(m.Address)
 	watch, cancel := context.WithCancel(ctx)
@@ -100,7 +100,7 @@
 		if m.Life == e.life {
 			return e.home.state(soon, id), nil
 		}
-		rep, err := callHome[JobArgs, StateReply](e, soon, m, entryState, &JobArgs{ID: id})
+		rep, err := callHome[JobArgs, StateReply](soon, e, m, entryState, &JobArgs{ID: id})
 		if err != nil {
 			return StateReply{}, err
 		}
@@ -137,7 +137,7 @@
 		if m.Life == e.life {
 			return e.home.cancel(ctx, id), nil
 		}
-		rep, err := callHome[JobArgs, CancelReply](e, ctx, m, entryCancel, &JobArgs{ID: id})
+		rep, err := callHome[JobArgs, CancelReply](ctx, e, m, entryCancel, &JobArgs{ID: id})
 		if err != nil {
 			return StateReply{}, err
 		}
--- a/site/home.go
+++ b/site/home.go
@@ -236,8 +236,12 @@
 			}
 		}
 	}
+	known := make(map[string]bool, len(agents))
+	for _, a := range agents {
+		known[a] = true
+	}
 	for a, l := range h.links {
-		if !acts && running == 0 || !slices.Contains(agents, a) && !h.core.Uses(a) {
+		if !acts && running == 0 || !known[a] && !h.core.Uses(a) {
 			l.close()
 			delete(h.links, a)
 		}
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -146,7 +146,10 @@
 	if h.ledger.Held() {
 		t = schedule.Tenure{
 			Epoch: h.ledger.Epoch(), Until: h.ledger.Owned().Add(tenureLife - tenureMargin),
-			Agents: h.ledger.Enrolled(), Former: h.former, Clear: h.clear,
+			Agents: make(map[string]bool), Former: h.former, Clear: h.clear,
+		}
+		for _, a := range h.ledger.Enrolled() {
+			t.Agents[a] = true
 		}
 	}
 	h.core.Hold(now, t)
--- a/site/link.go
+++ b/site/link.go
@@ -55,7 +55,7 @@
 			return
 		default:
 		}
-		if l.sync(syncWait) {
+		if l.sync(l.h.syncWait()) {
 			continue
 		}
 		select {
@@ -66,6 +66,14 @@
 	}
 }
 
+// syncWait is how long an exchange waits for news of an agent: longer on large
+// sites, so that a home makes at most about a thousand a second.
+func (h *home) syncWait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(syncWait, time.Duration(len(h.links))*syncPerLink), syncWaitMost)
+}
+
 // linkPause is the pause after a sync that failed.
 const linkPause = 30 * time.Millisecond
 
--- a/site/messages.go
+++ b/site/messages.go
@@ -67,16 +67,16 @@
 	Service string
 }
 
-// AnnounceReply tells an agent of all entries.
+// AnnounceReply tells an agent to which entries to announce itself.
 type AnnounceReply struct {
-	Entries []string
+	Panel []string
 }
 
 // GreetArgs is exchanged between entries.
 type GreetArgs struct {
 	Member  roster.Member
 	Session uint64         // of the sender at the receiver; see RunArgs
-	Entries []string       // that the sender knows
+	Panel   []string       // entries that all others greet, as the sender sees them
 	Config  uint64         // version of the configuration that it has in force
 	Waiting map[string]int // by queue: stored jobs that have not begun, if the sender is home
 }
--- a/site/site.go
+++ b/site/site.go
@@ -52,6 +52,8 @@
 	agentContact  = 450 * time.Millisecond // silence of a home after which an agent stops its runs
 	orderLife     = 400 * time.Millisecond // oldest echo with which an agent takes an order
 	syncWait      = 100 * time.Millisecond // so an agent hears its home four times in agentContact
+	syncPerLink   = time.Millisecond
+	syncWaitMost  = 200 * time.Millisecond // agentSuspect less the time of a message that is sent again
 	syncSlack     = 250 * time.Millisecond // for the answer to a sync that has waited
 	agentSuspect  = 300 * time.Millisecond // silence of an agent after which it gets no new task
 	agentLost     = agentContact + workerLease + 100*time.Millisecond
@@ -67,6 +69,7 @@
 	announceYoung = 5 * time.Second
 	agentKnown    = 2500 * time.Millisecond // silence after which an entry forgets an agent
 	listenFirst   = 150 * time.Millisecond  // before an entry makes itself home; a home in contact answers within a few ms
+	panelSize     = 5                       // entries that may be the next home; all at once are lost only with the site
 	forgetPeer    = 30 * time.Second
 	runStride     = 1000 // between run numbers of a task under successive homes
 )
@@ -113,5 +116,5 @@
 }
 
 func rosterConfig() roster.Config {
-	return roster.Config{HomeSilence: homeSilence, Silence: peerSilence, Listen: listenFirst, Forget: forgetPeer}
+	return roster.Config{HomeSilence: homeSilence, Silence: peerSilence, Listen: listenFirst, Forget: forgetPeer, Panel: panelSize}
 }
