--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -106,7 +106,8 @@
 		}
 		return *rep, nil
 	})
-	if !ok && ctx.Err() == nil {
+	if (!ok || rep.State == "") && ctx.Err() == nil {
+		// A home that has lost the ledger and does not know it yet may not know the job.
 		var err error
 		if rep.State, err = e.storedState(ctx, id); err != nil {
 			e.requests.Warn().Err(err).Str("job", id).Msg("state not known")
@@ -133,16 +134,7 @@
 func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request, id string) {
 	ctx, release := e.waitFor(r.Context(), platform.CallerWaits(r, callerWaits))
 	defer release()
-	rep, ok := e.askHome(ctx, func(m roster.Member) (StateReply, error) {
-		if m.Life == e.life {
-			return e.home.cancel(ctx, id), nil
-		}
-		rep, err := callHome[JobArgs, CancelReply](ctx, e, m, entryCancel, &JobArgs{ID: id})
-		if err != nil {
-			return StateReply{}, err
-		}
-		return StateReply(*rep), nil
-	})
+	rep, ok := e.askHome(ctx, func(m roster.Member) (StateReply, error) { return e.cancelAt(ctx, m, id) })
 	e.requests.Info().Str("job", id).Bool("answered", ok).Str("state", string(rep.State)).Msg("cancellation")
 	if r.Context().Err() != nil {
 		return // the caller has gone
@@ -154,6 +146,28 @@
 	e.check(platform.WriteState(w, rep.State))
 }
 
+// cancelAt cancels a job at a home. That a home does not know the job counts only if
+// the store does not either.
+func (e *Entry) cancelAt(ctx context.Context, m roster.Member, id string) (rep StateReply, err error) {
+	if m.Life == e.life {
+		rep = e.home.cancel(ctx, id)
+	} else {
+		far, err := callHome[JobArgs, CancelReply](ctx, e, m, entryCancel, &JobArgs{ID: id})
+		if err != nil {
+			return rep, err
+		}
+		rep = StateReply(*far)
+	}
+	if rep.Moved || rep.State != "" {
+		return rep, nil
+	}
+	s, err := e.storedState(ctx, id)
+	if s == work.Queued {
+		return StateReply{Moved: true}, err
+	}
+	return StateReply{State: s}, err
+}
+
 // Accept has a job stored for another entry.
 func (m *entryMethods) Accept(args *AcceptArgs, reply *AcceptReply) error {
 	*reply = m.e.home.accept(context.Background(), args)
