--- a/schedule/report.go
+++ b/schedule/report.go
@@ -73,7 +73,7 @@
 	}
 	more := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.others || now.Sub(t.heard) > c.cfg.Suspect
 	t.Target, t.ready, t.others, t.heard = r.Target, r.Ready, r.Others, now
-	c.adopt(now, t, r)
+	more = c.adopt(now, t, r) || more
 	for _, e := range r.Events {
 		if e.Seq > t.seq {
 			t.seq = e.Seq
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -132,13 +132,14 @@
 	}
 }
 
-// adopt takes the runs that an agent has from a former holder of the ledger.
-func (c *Core) adopt(now time.Time, t *target, r *Report) {
+// adopt takes the runs that an agent has from a former holder of the ledger, and
+// reports whether the agent has confirmed the tenure with this.
+func (c *Core) adopt(now time.Time, t *target, r *Report) bool {
 	if r.Epoch > c.epoch || r.Epoch == c.tenure.Epoch && t.tenure != r.Epoch {
 		t.unsaved = nil // the agent tells these ends to the holder, maybe anew
 	}
 	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.tenure == r.Epoch {
-		return
+		return false
 	}
 	t.tenure = r.Epoch
 	c.note(Note{Agent: t.agent, What: "tenureConfirmed", Why: "the agent obeys this home for stored jobs", Values: map[string]float64{
@@ -153,6 +154,7 @@
 		c.put(now.Add(-k.Age), t, j, k.Run)
 		c.note(Note{Job: j.ID, Agent: t.agent, Run: k.Run, What: "runAdopted", Why: "its former home is lost"})
 	}
+	return true
 }
 
 // mark notes that an event has to be saved before its agent forgets it.
