--- a/schedule/core.go
+++ b/schedule/core.go
@@ -40,6 +40,7 @@
 type Config struct {
 	Suspect   time.Duration // silence of an agent after which it gets no new task
 	Lost      time.Duration // silence of an agent after which its runs have ended
+	LostHeld  time.Duration // the same for runs of stored jobs
 	Far       float64       // multiple of its run time that a task takes away from its data; 1 if less
 	Late      float64       // multiple of the objective after which an answer is of no use
 	Margin    time.Duration // time for messages between a placement and its start, and back
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -63,7 +63,7 @@
 			t.ready = false
 			return // what it ran before may not have ended yet
 		}
-		c.loseRuns(now, t, "agent started anew")
+		c.loseRuns(now, t, "agent started anew", true)
 		t.life, t.seq, t.tenure, t.unsaved = r.Life, 0, 0, nil
 	}
 	if t.Born != r.Target.Born {
@@ -113,7 +113,7 @@
 	for _, name := range c.names {
 		t := c.targets[name]
 		if now.Sub(t.heard) > c.cfg.Lost && len(t.runs) > 0 {
-			c.loseRuns(now, t, "agent out of contact")
+			c.loseRuns(now, t, "agent out of contact", now.Sub(t.heard) > c.cfg.LostHeld)
 		}
 	}
 	c.names = slices.DeleteFunc(c.names, func(name string) bool {
@@ -129,8 +129,12 @@
 // forgetAgent is the silence after which nothing is kept about an agent.
 const forgetAgent = 30 * time.Second
 
-func (c *Core) loseRuns(now time.Time, t *target, why string) {
+// loseRuns ends the runs at an agent, with or without those of stored jobs.
+func (c *Core) loseRuns(now time.Time, t *target, why string, stored bool) {
 	for _, r := range t.sorted() {
+		if j, ok := c.jobs[r.Task.Job]; ok && j.Stored && !stored {
+			continue
+		}
 		c.take(now, t, Event{Run: r, End: work.Lapsed, Reason: why})
 	}
 }
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -211,7 +211,7 @@
 // that something may run there.
 func (c *Core) Heard(now time.Time, agent string) bool {
 	t, ok := c.targets[agent]
-	return ok && now.Sub(t.heard) <= c.cfg.Lost
+	return ok && now.Sub(t.heard) <= c.cfg.LostHeld
 }
 
 // obeys reports whether a worker's agent takes tasks of stored jobs from here.
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -128,6 +128,9 @@
 	for _, j := range open {
 		h.restore(now, j)
 	}
+	for _, l := range h.links {
+		go l.sync(0)
+	}
 	h.e.log.Info().Uint64("epoch", h.ledger.Epoch()).Int("open", len(open)).Int("items", len(items)).Int("agents", len(h.former)).Msg("ledger held")
 	h.flush()
 	return 0
--- a/site/link.go
+++ b/site/link.go
@@ -55,7 +55,7 @@
 			return
 		default:
 		}
-		if l.sync(l.h.syncWait()) {
+		if l.sync(l.wait()) {
 			continue
 		}
 		select {
@@ -66,6 +66,18 @@
 	}
 }
 
+// wait is how long the next exchange waits for news: not at all before the agent
+// was heard.
+func (l *link) wait() time.Duration {
+	l.h.mu.Lock()
+	heard := l.echo > 0
+	l.h.mu.Unlock()
+	if !heard {
+		return 0
+	}
+	return l.h.syncWait()
+}
+
 // syncWait is how long an exchange waits for news of an agent: longer on large
 // sites, so that a home makes at most about a thousand a second.
 func (h *home) syncWait() time.Duration {
--- a/site/site.go
+++ b/site/site.go
@@ -76,8 +76,10 @@
 
 // The ledger of stored jobs.
 const (
-	tenureLife    = 5 * time.Second                                 // how long a holder may go on without the store; its outages last that long
-	tenureMargin  = time.Second                                     // before the end of it no task is placed any more
+	tenureLife    = 5 * time.Second        // how long a holder may go on without the store; its outages last that long
+	tenureMargin  = time.Second            // before the end of it no task is placed any more
+	handover      = 750 * time.Millisecond // silence of the holder after which an agent stops runs of stored jobs; the next one is there after 400 to 500 ms
+	agentLostHeld = handover + workerLease + 100*time.Millisecond
 	tenureClear   = tenureLife + workerLease + 500*time.Millisecond // from a claim on: no run of a former holder is left; a tick, a stop and slack included
 	ledgerRefresh = 700 * time.Millisecond                          // between commits, far more often than tenureLife
 	ledgerGap     = 10 * time.Millisecond                           // between commits; as long as two answers of the store take
@@ -104,13 +106,13 @@
 
 // GuardConfig returns the limits by which an agent judges its worker.
 func GuardConfig(n *platform.Node) worker.Config {
-	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, Tenure: tenureLife, IdleAge: idleAge}
+	return worker.Config{Lease: workerLease, LongestLease: n.LongestLease, Contact: agentContact, Handover: handover, OrderLife: orderLife, Forget: forgetPeer, Silence: workerSilence, Tenure: tenureLife, IdleAge: idleAge}
 }
 
 // HomeConfig returns the limits by which a home places tasks.
 func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
-		Suspect: agentSuspect, Lost: agentLost, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
+		Suspect: agentSuspect, Lost: agentLost, LostHeld: agentLostHeld, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
 		Remember: 4096, MaxQueued: 20000,
 	}
 }
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -69,7 +69,7 @@
 	for _, ref := range g.refs() {
 		r := g.runs[ref]
 		s := g.sessions[r.entry]
-		if r.stopped.IsZero() && now.Sub(s.heard) > g.cfg.Contact {
+		if r.stopped.IsZero() && now.Sub(s.heard) > g.contact(r) {
 			g.stop(now, r)
 			stopped = append(stopped, r.start.Run)
 		}
@@ -84,6 +84,15 @@
 	return stopped
 }
 
+// contact returns how long the entry of a run may be silent. Another one may take
+// over runs of stored jobs, which takes longer than to give them up.
+func (g *Guard) contact(r *run) time.Duration {
+	if r.start.Stored {
+		return g.cfg.Handover
+	}
+	return g.cfg.Contact
+}
+
 func (g *Guard) serves(entry string) bool {
 	for _, r := range g.runs {
 		if r.entry == entry {
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -109,7 +109,7 @@
 // when their entry may have given them up.
 func (g *Guard) voidSilent(now time.Time) {
 	s, ok := g.sessions[g.owner]
-	if g.owner == "" || ok && now.Sub(s.heard) <= g.cfg.Contact && now.Sub(g.tenure.Owned) <= g.cfg.Tenure {
+	if g.owner == "" || ok && now.Sub(s.heard) <= g.cfg.Handover && now.Sub(g.tenure.Owned) <= g.cfg.Tenure {
 		return
 	}
 	stale := len(g.unsaved) > 0
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -44,6 +44,7 @@
 	// LongestLease is what the worker grants whatever is asked for.
 	LongestLease time.Duration
 	Contact      time.Duration // how long an entry may be silent before its runs are stopped
+	Handover     time.Duration // how long the holder of the ledger may be silent before runs of stored jobs are stopped
 	OrderLife    time.Duration // oldest echo with which an order is taken
 	Forget       time.Duration // how long events of a silent entry are kept
 	Silence      time.Duration // time without an answered look after which the worker gets no task
