Run stored jobs at set times and jobs that last; resume from checkpoints; announce to few entries

Agents took themselves for lonely between two rounds of announcements and then announced themselves to all entries: 45 kB/s an agent at 300 machines. They now wait for two rounds and a time-out.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -91,7 +91,7 @@
 type Job struct {
 	work.Job
 	Submitted time.Time
-	Done      [][]int              // by step: the tasks that are done
+	Done      [][]int              // by slot: the tasks that are done
 	Failures  map[work.TaskRef]int // failed runs of tasks that are not done
 	State     work.State           // empty while it is open
 	Ended     time.Time
@@ -176,7 +176,7 @@
 
 // Accept adds a job, which counts as stored with the fact Accepted.
 func (l *Ledger) Accept(submitted time.Time, w *work.Job) {
-	j := &Job{Job: *w, Submitted: submitted, Done: make([][]int, len(w.Steps)), Failures: make(map[work.TaskRef]int)}
+	j := &Job{Job: *w, Submitted: submitted, Done: make([][]int, w.Slots()), Failures: make(map[work.TaskRef]int)}
 	l.jobs[w.ID] = j
 	l.change(w.ID, Fact{Kind: Accepted, Job: w.ID})
 }
@@ -193,7 +193,7 @@
 	if ok && j.State == "" {
 		switch how {
 		case work.Done:
-			j.Done[t.Step] = append(j.Done[t.Step], t.Index)
+			j.Done[j.Slot(t)] = append(j.Done[j.Slot(t)], t.Index)
 			delete(j.Failures, t)
 		case work.Failed:
 			j.Failures[t]++
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -139,7 +139,7 @@
 		l.ended = append(l.ended, j)
 	case v.Job != nil:
 		j.Job, j.Submitted = *v.Job, time.UnixMilli(v.Submitted)
-		j.Done, j.Failures = make([][]int, len(j.Steps)), make(map[work.TaskRef]int)
+		j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
 	default:
 		return errors.NotValidf("item without job and state")
 	}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -89,7 +89,7 @@
 
 // backlog returns the work of a job's pending tasks.
 func (c *Core) backlog(j *job) float64 {
-	step := &j.Steps[0] // steps of a job are much alike
+	step := j.Step(0) // steps of a job are much alike
 	return float64(j.pending*step.Room.CPU) * ms(c.expect(j, 0))
 }
 
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -63,6 +63,7 @@
 	bias    map[string]*bias // by queue
 	settle  time.Time        // until then more workers are expected to come into contact
 	priors  time.Time        // when the means of the kinds of workers were computed
+	timed   []*job           // with occurrences whose time has not come
 	tenure  Tenure
 	epoch   uint64 // of the last tenure
 	out     Decisions
@@ -116,8 +117,8 @@
 	begun     time.Time // when the system got it
 	objective time.Time
 	cutoff    time.Time // after it an answer is of no use
-	tasks     [][]task  // by step
-	left      []int     // by step: tasks that are not done
+	tasks     [][]task  // by slot
+	left      []int     // by slot: tasks that are not done
 	pending   int       // tasks to place, of steps whose turn has come
 	running   int
 	leastCPU  int             // of any task, in thousandths of a core
@@ -151,7 +152,8 @@
 
 type task struct {
 	state    taskState
-	run      int // number of the last run
+	run      int    // number of the last run
+	saved    string // checkpoint to resume from; empty for none
 	failures int
 	agent    string
 	began    time.Time
@@ -160,12 +162,12 @@
 	stopping bool
 }
 
-// Load returns the tasks that wait and those that run.
+// Load returns the tasks and jobs at set times that wait, and the tasks that run.
 func (c *Core) Load() (waiting, running int) {
 	for _, t := range c.targets {
 		running += len(t.runs)
 	}
-	return c.queued, running
+	return c.queued + len(c.timed), running
 }
 
 // Waiting returns, by queue, how many jobs have not begun.
@@ -195,7 +197,7 @@
 		j.cutoff = end
 	}
 	c.jobs[w.ID] = j
-	c.unblock(j)
+	c.unblock(now, j)
 	if why, retry := c.hopeless(now, j, c.power(now, w.Queue.Service), true); why != "" && why != reasonNoWorkers {
 		c.reject(now, j, why, retry)
 		return
@@ -211,13 +213,13 @@
 }
 
 func newJob(now time.Time, w work.Job, firstRun int) *job {
-	j := &job{Job: w, begun: now.Add(-w.Age), tasks: make([][]task, len(w.Steps)), left: make([]int, len(w.Steps))}
+	j := &job{Job: w, begun: now.Add(-w.Age), tasks: make([][]task, w.Slots()), left: make([]int, w.Slots())}
 	j.objective = j.begun.Add(w.Queue.Objective(w.Chain()))
 	j.leastCPU = w.Steps[0].Room.CPU
-	for i := range w.Steps {
-		j.leastCPU = min(j.leastCPU, w.Steps[i].Room.CPU)
-		j.tasks[i] = make([]task, w.Steps[i].Count)
-		j.left[i] = w.Steps[i].Count
+	for i := range j.tasks {
+		j.leastCPU = min(j.leastCPU, w.Step(i).Room.CPU)
+		j.tasks[i] = make([]task, w.Step(i).Count)
+		j.left[i] = w.Step(i).Count
 		for k := range j.tasks[i] {
 			j.tasks[i][k].run = firstRun
 		}
@@ -235,9 +237,13 @@
 	c.place(now)
 }
 
-// unblock makes the tasks pending whose earlier steps are done.
-func (c *Core) unblock(j *job) {
-	for i := range j.Steps {
+// unblock makes the tasks pending whose time has come and whose earlier steps are
+// done.
+func (c *Core) unblock(now time.Time, j *job) {
+	for i := range j.tasks {
+		if now.Before(j.Due(i)) {
+			break
+		}
 		if !j.turn(i) {
 			continue
 		}
@@ -251,10 +257,11 @@
 	}
 }
 
-// turn reports whether all steps before step i are done.
+// turn reports whether all steps before that of slot i are done.
 func (j *job) turn(i int) bool {
-	for _, before := range j.Steps[i].After {
-		if j.left[before] > 0 {
+	first := i - i%len(j.Steps) // slot of the occurrence
+	for _, before := range j.Step(i).After {
+		if j.left[first+before] > 0 {
 			return false
 		}
 	}
@@ -341,12 +348,13 @@
 	c.begins = append(c.begins, j.ID)
 }
 
-// stopAll stops the runs of a job that have more than rest to go.
+// stopAll stops the runs of a job that are expected to have more than rest to go, or
+// all of them.
 func (c *Core) stopAll(now time.Time, j *job, rest time.Duration) {
 	for i := range j.tasks {
 		for k := range j.tasks[i] {
 			t := &j.tasks[i][k]
-			if t.state == placed && now.Add(rest).Before(t.began.Add(t.expected)) {
+			if t.state == placed && (rest == 0 || now.Add(rest).Before(t.began.Add(t.expected))) {
 				c.stop(j, i, k)
 			}
 		}
@@ -372,7 +380,7 @@
 
 // ref returns the last run of a task.
 func (j *job) ref(step, index int) work.Run {
-	return work.Run{Task: work.TaskRef{Job: j.ID, Step: step, Index: index}, Number: j.tasks[step][index].run}
+	return work.Run{Task: j.Ref(step, index), Number: j.tasks[step][index].run}
 }
 
 // Tick is called every few milliseconds while jobs wait, and at least a few
@@ -385,6 +393,7 @@
 	c.loseAgents(now)
 	c.stopStalled(now)
 	c.expireSlowdowns(now)
+	c.startDue(now)
 	c.shed(now)
 	c.age(now)
 	c.place(now)
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -29,26 +29,32 @@
 	if !ok {
 		return
 	}
-	if j.Stored && (e.End == work.Done || e.End == work.Failed) {
+	if j.Stored && !j.Lasts && (e.End == work.Done || e.End == work.Failed) {
 		c.mark(t, &e)
 	}
-	step, index := e.Run.Task.Step, e.Run.Task.Index
-	t.used = t.used.Sub(j.Steps[step].Room)
+	step, index := j.Slot(e.Run.Task), e.Run.Task.Index
+	t.used = t.used.Sub(j.Step(step).Room)
 	j.running--
 	tk := &j.tasks[step][index]
 	tk.stopping = false
+	if e.Checkpoint != "" {
+		j.save(step, index, e.Checkpoint)
+	}
 	j.last = lastRun{agent: t.agent, wait: tk.began.Sub(j.begun), took: e.Took, expected: tk.expected}
 	if e.End != work.Done {
 		j.again++
 		c.note(Note{Job: j.ID, Agent: t.agent, Run: e.Run, What: "runEnded", Why: string(e.End) + " " + e.Reason,
 			Values: map[string]float64{"tookMs": ms(e.Took), "expectedMs": ms(tk.expected)}})
 	}
-	switch e.End {
-	case work.Done:
+	switch {
+	case j.Lasts:
+		c.setBack(now, t, e)
+		c.restart(now, t, j, step, index, e.End)
+	case e.End == work.Done:
 		t.sound.add(now, e.Took, tk.expected)
 		c.learn(t, j, step, e.Took)
-		c.finish(j, step, index)
-	case work.Failed:
+		c.finish(now, j, step, index)
+	case e.End == work.Failed:
 		c.fail(now, t, j, step, index)
 	default:
 		c.setBack(now, t, e)
@@ -59,14 +65,14 @@
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func (c *Core) finish(j *job, step, index int) {
+func (c *Core) finish(now time.Time, j *job, step, index int) {
 	j.tasks[step][index].state = done
 	j.left[step]--
 	if j.over {
 		return
 	}
 	if j.left[step] == 0 {
-		c.unblock(j)
+		c.unblock(now, j)
 		c.enqueue(j)
 	}
 	if j.finished() {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -99,7 +99,7 @@
 func (c *Core) placeJob(now time.Time, j *job, open []*target) bool {
 	before := j.pending
 	for i := range j.tasks {
-		if j.Steps[i].Gang {
+		if j.Step(i).Gang {
 			c.placeGang(now, j, i, open)
 			continue
 		}
@@ -132,11 +132,11 @@
 		if t == nil {
 			break
 		}
-		t.used = t.used.Add(j.Steps[step].Room)
+		t.used = t.used.Add(j.Step(step).Room)
 		chosen = append(chosen, t)
 	}
 	for _, t := range chosen {
-		t.used = t.used.Sub(j.Steps[step].Room)
+		t.used = t.used.Sub(j.Step(step).Room)
 	}
 	if len(chosen) < len(j.tasks[step]) {
 		return
@@ -151,7 +151,7 @@
 // them as long as that can still be in time. Else it returns the fastest one
 // with room.
 func (c *Core) choose(now time.Time, j *job, step int, open []*target) *target {
-	st := &j.Steps[step]
+	st := j.Step(step)
 	nominal := c.expect(j, step)
 	var meets, fastest *target
 	var meetsTime, fastestTime time.Duration
@@ -219,7 +219,7 @@
 
 // suits reports whether a worker may run tasks of a step.
 func (c *Core) suits(j *job, step int, t *target) bool {
-	st := &j.Steps[step]
+	st := j.Step(step)
 	if j.Stored && !c.obeys(t) {
 		return false
 	}
@@ -234,7 +234,7 @@
 	}
 	n := 0
 	for ref := range t.runs {
-		if ref.Job == j.ID && ref.Step == step {
+		if ref.Job == j.ID && j.Slot(ref) == step {
 			n++
 		}
 	}
@@ -257,18 +257,21 @@
 	run := j.ref(step, index)
 	run.Number = number
 	tk := c.put(now, t, j, run)
-	st := &j.Steps[step]
+	st := j.Step(step)
 	if c.out.Starts == nil {
 		c.out.Starts = make(map[string][]work.Start)
 	}
-	here := time.Duration(float64(st.Estimate) * c.distance(st, t))
-	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: tk.expected, Trace: j.Trace, Stored: j.Stored})
+	here, expected := time.Duration(float64(st.Estimate)*c.distance(st, t)), tk.expected
+	if j.Lasts {
+		here, expected = 0, 0
+	}
+	c.out.Starts[t.agent] = append(c.out.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: st.Room, Estimate: here, Expected: expected, Trace: j.Trace, Stored: j.Stored, Checkpoint: tk.saved})
 }
 
 // put notes that a run of a pending task is at a worker since began.
 func (c *Core) put(began time.Time, t *target, j *job, run work.Run) *task {
-	step := run.Task.Step
-	st := &j.Steps[step]
+	step := j.Slot(run.Task)
+	st := j.Step(step)
 	tk := &j.tasks[step][run.Task.Index]
 	tk.state, tk.run, tk.agent, tk.began = placed, run.Number, t.agent, began
 	tk.slowdown = t.slowdown
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -80,6 +80,7 @@
 			c.take(now, t, e)
 		}
 	}
+	c.evacuate(t)
 	c.observe(now, t, r.Idle)
 	c.observeSlow(now, t, r.Slow)
 	if more || len(r.Events) > 0 {
--- a/schedule/slow.go
+++ b/schedule/slow.go
@@ -76,7 +76,7 @@
 	if !ok || have != r || j == nil {
 		return nil
 	}
-	return &j.tasks[r.Task.Step][r.Task.Index]
+	return &j.tasks[j.Slot(r.Task)][r.Task.Index]
 }
 
 // matureRuns returns how many runs on a worker are not young.
@@ -105,20 +105,20 @@
 	if !now.Add(left).After(j.objective) {
 		return
 	}
-	step := &j.Steps[p.Run.Task.Step]
+	step := j.Step(j.Slot(p.Run.Task))
 	if step.Gang {
 		return // its other members would end, too
 	}
-	nominal := c.expect(j, p.Run.Task.Step)
+	nominal := c.expect(j, j.Slot(p.Run.Task))
 	for _, o := range c.open(now) {
 		there := stopCost + time.Duration(float64(nominal)*o.slowness()*c.distance(step, o))
-		if o == t || !c.suits(j, p.Run.Task.Step, o) || !o.free().Holds(step.Room) || moveGain*there > left {
+		if o == t || !c.suits(j, j.Slot(p.Run.Task), o) || !o.free().Holds(step.Room) || moveGain*there > left {
 			continue
 		}
 		c.note(Note{Job: j.ID, Agent: t.agent, Run: p.Run, What: "runMoved", Why: "its worker is slow",
 			Values: map[string]float64{"leftMs": ms(left), "thereMs": ms(there), "ranMs": ms(now.Sub(tk.began))}})
 		j.shun(t.agent)
-		c.stop(j, p.Run.Task.Step, p.Run.Task.Index)
+		c.stop(j, j.Slot(p.Run.Task), p.Run.Task.Index)
 		return
 	}
 }
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -62,11 +62,11 @@
 // usual for now is not learned as its speed.
 func (c *Core) learn(t *target, j *job, step int, took time.Duration) {
 	t.streak = 0
-	est := j.Steps[step].Estimate
+	est := j.Step(step).Estimate
 	if est <= 0 || took <= 0 {
 		return
 	}
-	ratio := math.Log(float64(took) / float64(est) / c.distance(&j.Steps[step], t) / t.slowdown)
+	ratio := math.Log(float64(took) / float64(est) / c.distance(j.Step(step), t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
 	t.slow.add(ratio-b.value, speedWindow)
 	t.judge()
@@ -91,6 +91,6 @@
 
 // expect returns the run time of a task of a step on a worker of slowness 1.
 func (c *Core) expect(j *job, step int) time.Duration {
-	est := max(j.Steps[step].Estimate, time.Millisecond)
+	est := max(j.Step(step).Estimate, time.Millisecond)
 	return time.Duration(float64(est) * c.queueBias(j.Queue.Name).factor)
 }
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -59,7 +59,7 @@
 		for _, r := range t.sorted() {
 			if j, ok := c.jobs[r.Task.Job]; ok && j.Stored {
 				delete(t.runs, r.Task)
-				t.used = t.used.Sub(j.Steps[r.Task.Step].Room)
+				t.used = t.used.Sub(j.Step(j.Slot(r.Task)).Room)
 			}
 		}
 	}
@@ -70,12 +70,15 @@
 			delete(c.jobs, id)
 		}
 	}
+	c.timed = nil
 }
 
 // Admit returns why a new job should be rejected, and when to come back, or "".
 func (c *Core) Admit(now time.Time, w *work.Job) (why string, retry time.Duration) {
 	j := newJob(now, *w, 0)
-	j.cutoff = c.cutoff(j)
+	if j.cutoff = c.cutoff(j); w.Lasts || w.Times > 0 {
+		j.cutoff = now.Add(unhurried)
+	}
 	if why, retry = c.hopeless(now, j, c.power(now, w.Queue.Service), true); why == reasonNoWorkers {
 		return "", 0 // it is stored and can wait
 	}
@@ -99,7 +102,10 @@
 		j.tasks[t.Step][t.Index].failures = n
 	}
 	c.jobs[w.ID] = j
-	c.unblock(j)
+	if w.Times > 0 {
+		c.timed = append(c.timed, j)
+	}
+	c.unblock(now, j)
 	if j.finished() {
 		c.close(j, work.Outcome{State: work.Completed})
 		return
@@ -147,7 +153,7 @@
 	}})
 	for _, k := range r.Kept {
 		j, ok := c.jobs[k.Run.Task.Job]
-		if !ok || !j.Stored || j.over || j.tasks[k.Run.Task.Step][k.Run.Task.Index].state != pending {
+		if !ok || !j.Stored || j.over || j.tasks[j.Slot(k.Run.Task)][k.Run.Task.Index].state != pending {
 			c.order(t.agent, k.Run)
 			continue
 		}
@@ -175,7 +181,7 @@
 // it had it.
 func (c *Core) adopted(now time.Time, t *target, e *Event) bool {
 	j, ok := c.jobs[e.Run.Task.Job]
-	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || j.tasks[e.Run.Task.Step][e.Run.Task.Index].state != pending {
+	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || j.tasks[j.Slot(e.Run.Task)][e.Run.Task.Index].state != pending {
 		return false
 	}
 	c.put(now.Add(-e.Took), t, j, e.Run)
@@ -223,7 +229,7 @@
 // time for their callers. They have to be done all the same.
 func (c *Core) age(now time.Time) {
 	for _, j := range slices.Clone(c.waiting) {
-		if j.Stored && !j.late && now.After(j.cutoff) {
+		if j.Stored && !j.Lasts && j.Times == 0 && !j.late && now.After(j.cutoff) {
 			c.dequeue(j)
 			j.late = true
 			c.enqueue(j)
--- a/site/agent.go
+++ b/site/agent.go
@@ -301,12 +301,15 @@
 		return ans.Reason == platform.ReasonFence
 	}
 	a.noteSilence(false, nil)
-	l := worker.Look{Token: token, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running))}
+	l := worker.Look{Token: token, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running)), Saved: make(map[work.Run]string)}
 	for _, r := range ans.Running {
 		l.Running[r.Run] = r.Percent
+		if r.Checkpoint != "" {
+			l.Saved[r.Run] = r.Checkpoint
+		}
 	}
 	for _, e := range ans.Ended {
-		l.Ended = append(l.Ended, worker.Ended{Number: e.Number, Run: e.Run, End: e.End})
+		l.Ended = append(l.Ended, worker.Ended{Number: e.Number, Run: e.Run, End: e.End, Saved: e.Checkpoint})
 	}
 	before := a.guard.Running()
 	a.guard.Looked(now, l)
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -70,7 +70,7 @@
 	for {
 		now := a.now()
 		a.mu.Lock()
-		lonely := now.Sub(a.answered) > announceEvery
+		lonely := now.Sub(a.answered) > lonelyAfter
 		a.mu.Unlock()
 		panel := a.entries.since(now.Add(-panelKnown))
 		if lonely {
@@ -106,6 +106,10 @@
 	}
 }
 
+// lonelyAfter is the time without an answer after which an agent announces itself to
+// all entries that it knows: two rounds of announcements and a time-out.
+const lonelyAfter = 2*announceEvery + greetTimeout
+
 // panelKnown is how long an entry is announced to that no entry names any more: a
 // few announcements may get no answer.
 const panelKnown = 4 * announceEvery
@@ -168,7 +172,7 @@
 		return
 	}
 	for _, it := range items {
-		a.entries.add(a.now(), string(it.Value))
+		a.entries.add(time.Time{}, string(it.Value)) // none of the panel, as far as is known
 	}
 }
 
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -113,7 +113,7 @@
 	e.mu.Unlock()
 	for _, address := range e.known.all() {
 		onPanel := slices.Contains(panel, address)
-		often := address == home.Address || e.hasJobsAt(address) || onPanel && !ok
+		often := e.hasJobsAt(address) || onPanel && !ok || address == home.Address && now.Sub(last[address]) >= greetIdle-greetHome/2
 		switch {
 		case address == e.node.Internal:
 		case often, onPanel && now.Sub(last[address]) >= greetOthers:
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -94,8 +94,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if s.Lasting || s.Scheduled || s.Filling {
-		e.requests.Warn().Str("job", id).Bool("lasting", s.Lasting).Bool("scheduled", s.Scheduled).Msg("job rejected: its kind is not supported")
+	if s.Filling || !s.Job.Stored && (s.Job.Lasts || s.Job.Times > 0) {
+		e.requests.Warn().Str("job", id).Bool("fills", s.Filling).Bool("lasts", s.Job.Lasts).Int("times", s.Job.Times).Msg("job rejected: its kind is not supported")
 		e.check(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Minute))
 		return
 	}
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -139,7 +139,11 @@
 // restore gives the core a job that is stored. The caller holds mu.
 func (h *home) restore(now time.Time, j *ledger.Job) {
 	w := j.Job
-	w.Age = max(h.e.wall().Sub(j.Submitted), 0)
+	wall := h.e.wall()
+	w.Age = max(wall.Sub(j.Submitted), 0)
+	if w.Times > 0 {
+		w.First = now.Add(w.First.Sub(wall)) // by the clock that the core is given
+	}
 	h.core.Restore(now, w, int(h.ledger.Epoch())*runStride, j.Done, j.Failures)
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -60,6 +60,7 @@
 	entryContact  = 450 * time.Millisecond // silence of an entry after which a home withdraws its jobs
 	homeSilence   = 350 * time.Millisecond // silence after which a home counts as lost
 	greetHome     = 100 * time.Millisecond // so a home hears an entry four times in entryContact
+	greetIdle     = 200 * time.Millisecond // of a home that has no jobs from here; shorter than homeSilence
 	greetOthers   = 400 * time.Millisecond
 	greetTimeout  = 250 * time.Millisecond
 	peerSilence   = 1200 * time.Millisecond             // of entries that are not home
--- a/work/work.go
+++ b/work/work.go
@@ -87,12 +87,39 @@
 	Spec   string        `json:"spec,omitempty"`
 	Steps  []Step        `json:"steps"`
 	Stored bool          `json:"stored,omitempty"` // it outlives processes; its caller does not wait for its end
+	Lasts  bool          `json:"lasts,omitempty"`  // its tasks run until it is cancelled, however often they end
+	Times  int           `json:"times,omitempty"`  // how often its steps run; 0 for once, at once
+	First  time.Time     `json:"first,omitzero"`   // when they run first, by the time of day
+	Every  time.Duration `json:"every,omitempty"`  // between these times
 	Left   time.Duration `json:"left,omitempty"`   // how long the caller waits, from when the job was handed over
 	Trace  string        `json:"trace,omitempty"`  // W3C traceparent of the hop before; empty if it is not traced
 	Age    time.Duration `json:"age,omitempty"`    // how long the system has had the job when it was handed over
 }
 
-// Tasks returns the number of tasks of all steps.
+// Slots returns the number of steps of all occurrences.
+func (j *Job) Slots() int { return max(j.Times, 1) * len(j.Steps) }
+
+// Slot returns the number of a task's step, counted over all occurrences.
+func (j *Job) Slot(t TaskRef) int { return t.Occurrence*len(j.Steps) + t.Step }
+
+// Step returns the step of a slot.
+func (j *Job) Step(slot int) *Step { return &j.Steps[slot%len(j.Steps)] }
+
+// Ref returns the name of a task.
+func (j *Job) Ref(slot, index int) TaskRef {
+	return TaskRef{Job: j.ID, Occurrence: slot / len(j.Steps), Step: slot % len(j.Steps), Index: index}
+}
+
+// Due returns when the occurrence of a slot may begin, by the time of day; zero for
+// at once.
+func (j *Job) Due(slot int) time.Time {
+	if j.Times == 0 {
+		return time.Time{}
+	}
+	return j.First.Add(time.Duration(slot/len(j.Steps)) * j.Every)
+}
+
+// Tasks returns the number of tasks of all steps of one occurrence.
 func (j *Job) Tasks() int {
 	n := 0
 	for i := range j.Steps {
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -9,13 +9,14 @@
 
 // Event tells an entry how a run of its own ended.
 type Event struct {
-	Seq    uint64
-	Run    work.Run
-	End    work.End
-	Reason string        // for Refused: why
-	Took   time.Duration // from the order to the end
-	Stored bool          // its job is stored
-	number uint64        // under which the worker lists the end until it is saved; 0 if it need not
+	Seq        uint64
+	Run        work.Run
+	End        work.End
+	Reason     string        // for Refused: why
+	Took       time.Duration // from the order to the end
+	Checkpoint string        // from which the task can resume; empty if there is none
+	Stored     bool          // its job is stored
+	number     uint64        // under which the worker lists the end until it is saved; 0 if it need not
 }
 
 type session struct {
--- a/worker/look.go
+++ b/worker/look.go
@@ -26,8 +26,9 @@
 	Token   uint64 // with which it was asked
 	Born    int64
 	Clock   time.Duration
-	Running map[work.Run]int // percent of the work
-	Ended   []Ended          // by rising number
+	Running map[work.Run]int    // percent of the work
+	Saved   map[work.Run]string // checkpoints of what runs, where there are any
+	Ended   []Ended             // by rising number
 }
 
 // Ended is an end that the worker lists.
@@ -35,6 +36,7 @@
 	Number uint64
 	Run    work.Run
 	End    work.End
+	Saved  string // checkpoint; empty if there is none
 }
 
 // Fenced notes that the worker has seen a higher token than the one asked with.
@@ -73,6 +75,9 @@
 		}
 		g.seen = e.Number
 		if r, ok := g.runs[e.Run.Task]; ok && r.start.Run == e.Run {
+			if e.Saved != "" {
+				r.saved = e.Saved
+			}
 			g.finishListed(now, e.Run.Task, e.Number, e.End, "")
 		}
 	}
@@ -91,6 +96,9 @@
 			continue
 		}
 		g.judge(now, have, l.Running[r])
+		if saved := l.Saved[r]; saved != "" {
+			have.saved = saved
+		}
 		if have.phase == unclear {
 			have.phase = running
 		}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -70,6 +70,7 @@
 	sent    time.Time     // first order
 	stopped time.Time     // last stop order
 	percent int           // of its work, at the last look
+	saved   string        // its last checkpoint
 	moved   time.Time     // the look that showed the last progress
 	slow    time.Duration // least run time that its progress lets expect, if far above what was expected
 	idle    bool          // looks have shown no progress for too long
@@ -239,7 +240,7 @@
 func (g *Guard) finishListed(now time.Time, ref work.TaskRef, number uint64, how work.End, why string) {
 	r := g.runs[ref]
 	delete(g.runs, ref)
-	e := Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent), Stored: r.start.Stored}
+	e := Event{Run: r.start.Run, End: how, Reason: why, Took: now.Sub(r.sent), Stored: r.start.Stored, Checkpoint: r.saved}
 	if e.Stored && number > 0 && (how == work.Done || how == work.Failed) {
 		e.number = number
 		g.keep(number)
