--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -153,7 +153,7 @@
 	}})
 	for _, k := range r.Kept {
 		j, ok := c.jobs[k.Run.Task.Job]
-		if !ok || !j.Stored || j.over || j.tasks[j.Slot(k.Run.Task)][k.Run.Task.Index].state != pending {
+		if !ok || !j.Stored || j.over || !c.unplaced(j, k.Run.Task) {
 			c.order(t.agent, k.Run)
 			continue
 		}
@@ -181,13 +181,26 @@
 // it had it.
 func (c *Core) adopted(now time.Time, t *target, e *Event) bool {
 	j, ok := c.jobs[e.Run.Task.Job]
-	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || j.tasks[j.Slot(e.Run.Task)][e.Run.Task.Index].state != pending {
+	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || !c.unplaced(j, e.Run.Task) {
 		return false
 	}
 	c.put(now.Add(-e.Took), t, j, e.Run)
 	return true
 }
 
+// unplaced reports whether a task is to be placed, and makes it so if it waits for
+// earlier steps: a former home has started it, so these are done, and their agents
+// have not told yet.
+func (c *Core) unplaced(j *job, ref work.TaskRef) bool {
+	tk := &j.tasks[j.Slot(ref)][ref.Index]
+	if tk.state == blocked {
+		tk.state = pending
+		j.pending++
+		c.queued++
+	}
+	return tk.state == pending
+}
+
 // cleared reports whether no run of a former holder can be left that is not
 // known.
 func (c *Core) cleared(now time.Time) bool {
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -157,3 +157,23 @@
 		t.Errorf("stops %v", d.stops)
 	}
 }
+
+// TestEndsOfLaterStepsAreTakenBeforeThoseOfEarlierOnes: agents tell in any order what
+// a former home could not save.
+func TestEndsOfLaterStepsAreTakenBeforeThoseOfEarlierOnes(t *testing.T) {
+	d := newDesk(t)
+	d.agent("a", 4)
+	d.agent("b", 4)
+	d.hold(2, "a", "b")
+	j := job("j", 0, 1, 100*time.Millisecond)
+	j.Steps = append(j.Steps, j.Steps[0])
+	j.Steps[1].After = []int{0}
+	d.restoreJob(j)
+	second := work.Run{Task: work.TaskRef{Job: "j", Step: 1}, Number: 5}
+	d.confirm("a", 2, nil, schedule.Event{Run: second, End: work.Done})
+	d.confirm("b", 2, nil, schedule.Event{Run: run("j", 0, 5), End: work.Done})
+	d.wantOutcome("j", work.Completed)
+	if len(d.starts) != 0 {
+		t.Errorf("starts %v", d.starts)
+	}
+}
