--- a/schedule/report.go
+++ b/schedule/report.go
@@ -20,7 +20,8 @@
 	Idle    []work.Run   // runs that are not young and have made no progress
 	Slow    []Projection // runs that go far slower than expected
 	Epoch   uint64       // of the tenure that the agent obeys
-	Kept    []Kept       // runs of stored jobs, if they were asked for
+	Asked   bool         // Kept was asked for and is complete
+	Kept    []Kept       // runs of stored jobs
 }
 
 // Event tells how a run ended.
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -141,10 +141,10 @@
 // adopt takes the runs that an agent has from a former holder of the ledger, and
 // reports whether the agent has confirmed the tenure with this.
 func (c *Core) adopt(now time.Time, t *target, r *Report) bool {
-	if r.Epoch > c.epoch || r.Epoch == c.tenure.Epoch && t.tenure != r.Epoch {
+	if r.Epoch > c.epoch || r.Epoch == c.tenure.Epoch && t.tenure != r.Epoch && r.Asked {
 		t.unsaved = nil // the agent tells these ends to the holder, maybe anew
 	}
-	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.tenure == r.Epoch {
+	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.tenure == r.Epoch || !r.Asked {
 		return false
 	}
 	t.tenure = r.Epoch
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -27,7 +27,7 @@
 		d.seq[name]++
 		events[i].Seq, events[i].Stored = d.seq[name], true
 	}
-	d.c.Report(d.now, name, &schedule.Report{Life: "1", Target: d.agents[name], Ready: true, Settled: true, Epoch: epoch, Kept: kept, Events: events})
+	d.c.Report(d.now, name, &schedule.Report{Life: "1", Target: d.agents[name], Ready: true, Settled: true, Epoch: epoch, Asked: true, Kept: kept, Events: events})
 	d.take()
 }
 
@@ -177,3 +177,17 @@
 		t.Errorf("starts %v", d.starts)
 	}
 }
+
+// TestReplyThatWasNotAskedForRunsConfirmsNothing: an exchange that began before the
+// agent heard of the tenure may end after it did.
+func TestReplyThatWasNotAskedForRunsConfirmsNothing(t *testing.T) {
+	d := newDesk(t)
+	d.agent("a", 4)
+	d.hold(2, "a")
+	d.restore("j", 1)
+	d.c.Report(d.now, "a", &schedule.Report{Life: "1", Target: d.agents["a"], Ready: true, Settled: true, Epoch: 2})
+	d.take()
+	d.wantStarts("a", 0)
+	d.confirm("a", 2, []schedule.Kept{{Run: run("j", 0, 5)}})
+	d.wantStarts("a", 0)
+}
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -41,7 +41,7 @@
 	reply.Taken = a.taken[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
 	if args.Tenure.Kept {
-		reply.Report.Kept = a.kept()
+		reply.Report.Asked, reply.Report.Kept = true, a.kept()
 	}
 	if reply.Target = a.version; args.Target == a.version && args.Life == a.life {
 		reply.Report.Target, reply.Report.Pace = work.Target{}, schedule.Pace{}
