--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// Load takes all items under Prefix as they were read after the claim.
+// Load takes all items under OpenPrefix as they were read after the claim.
 func (l *Ledger) Load(items []store.Item) (err error) {
 	if l.phase != loading {
 		return nil
@@ -78,11 +78,23 @@
 	if err := l.decode(items); err != nil {
 		return err
 	}
-	slices.SortFunc(l.ended, func(a, b *Job) int { return a.Ended.Compare(b.Ended) })
 	l.phase = held
 	return nil
 }
 
+// LoadEnded takes all items under EndedPrefix as they were read after Load.
+func (l *Ledger) LoadEnded(items []store.Item) (err error) {
+	if l.phase != held || l.whole {
+		return nil
+	}
+	if err := l.decodeEnded(items); err != nil {
+		return err
+	}
+	slices.SortFunc(l.ended, func(a, b *Job) int { return a.Ended.Compare(b.Ended) })
+	l.whole = true
+	return nil
+}
+
 // Loading reports whether the items have to be read.
 func (l *Ledger) Loading() bool { return l.phase == loading }
 
@@ -121,6 +133,9 @@
 	return next.commit, nil
 }
 
+// Sent returns when the last commit was sent first.
+func (l *Ledger) Sent() time.Time { return l.sent }
+
 // Changed reports whether something waits to be committed.
 func (l *Ledger) Changed() bool { return len(l.order) > 0 }
 
@@ -140,11 +155,11 @@
 
 // expired reports whether a job that has ended need not be kept any more.
 func (l *Ledger) expired(wall time.Time) bool {
-	return len(l.ended) > 0 && l.ended[0].closed && wall.Sub(l.ended[0].Ended) > l.cfg.Keep
+	return l.whole && len(l.ended) > 0 && l.ended[0].closed && wall.Sub(l.ended[0].Ended) > l.cfg.Keep
 }
 
 // perJob is the most entries of a commit that one job takes.
-const perJob = 2
+const perJob = 3
 
 // fill adds changes to a commit as far as they fit.
 func (l *Ledger) fill(wall time.Time, f *flight) (err error) {
@@ -173,23 +188,27 @@
 		old := l.ended[0]
 		l.ended = l.ended[1:]
 		delete(l.jobs, old.ID)
-		f.commit.Deletes = append(f.commit.Deletes, JobKey(old.ID))
+		f.commit.Deletes = append(f.commit.Deletes, EndedPrefix+old.ID)
 	}
 	return nil
 }
 
 // fill adds what has to be written about a job.
 func (j *Job) fill(f *flight) error {
-	first := !j.stored
+	first, key := !j.stored, jobPrefix+j.ID
+	if j.State != "" {
+		key = EndedPrefix + j.ID
+		f.closed = append(f.closed, j)
+		if !first {
+			f.commit.Deletes = append(f.commit.Deletes, jobPrefix+j.ID)
+		}
+	}
 	if first || j.State != "" {
 		raw, err := j.encode()
 		if err != nil {
 			return err
 		}
-		f.commit.Writes = append(f.commit.Writes, store.Item{Key: JobKey(j.ID), Value: raw})
-	}
-	if j.State != "" {
-		f.closed = append(f.closed, j)
+		f.commit.Writes = append(f.commit.Writes, store.Item{Key: key, Value: raw})
 	}
 	if first {
 		f.stored = append(f.stored, j)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,9 +10,10 @@
 // taken the key. The number of the tenure, its epoch, goes to agents with every
 // order; they take none of an earlier epoch.
 //
-// A job has one item from its acceptance on, which is replaced by a short one
-// when the job has ended and deleted Config.Keep later. What is done of an open
-// job stands in a second item. An agent that may get tasks of stored jobs is
+// A job has one item from its acceptance on. A short one elsewhere takes its place
+// when the job has ended, and is deleted Config.Keep later. What is done of an open
+// job stands in a second item. So a new holder reads the open jobs at once, however
+// many have ended; before it accepts new ones, it has to know those, too. An agent that may get tasks of stored jobs is
 // enrolled first, so that the next holder knows whom to ask what still runs.
 //
 // Ledger holds this state in memory. It has no goroutines, sockets or clocks:
@@ -73,6 +74,7 @@
 	ended   []*Job            // kept, the longest first
 	agents  map[string]bool   // enrolled; false: with the next commit
 	roll    bool              // agents differs from what was committed last
+	whole   bool              // the ended jobs have been read, too
 }
 
 // New returns the ledger as an entry knows it that has just started.
@@ -83,7 +85,7 @@
 }
 
 func (l *Ledger) forget() {
-	l.flight, l.order, l.ended, l.roll = nil, nil, nil, false
+	l.flight, l.order, l.ended, l.roll, l.whole = nil, nil, nil, false, false
 	l.jobs, l.changes, l.agents = make(map[string]*Job), make(map[string][]Fact), make(map[string]bool)
 }
 
@@ -134,9 +136,12 @@
 	return l.tenure.Epoch
 }
 
-// Held reports whether this entry holds the ledger and has read it.
+// Held reports whether this entry holds the ledger and has read the open jobs.
 func (l *Ledger) Held() bool { return l.phase == held }
 
+// Whole reports whether it has read the ended jobs, too, and can accept new ones.
+func (l *Ledger) Whole() bool { return l.phase == held && l.whole }
+
 // Owned returns when the tenure was last known to hold.
 func (l *Ledger) Owned() time.Time { return l.owned }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -45,13 +45,21 @@
 	}
 	d.l.Claim()
 	d.commit()
-	items, _, err := d.st.List(d.t.Context(), ledger.Prefix)
+	if err := d.l.Load(d.list(ledger.OpenPrefix)); err != nil || !d.l.Held() || d.l.Whole() {
+		d.t.Fatalf("held %t, whole %t: %v", d.l.Held(), d.l.Whole(), err)
+	}
+	if err := d.l.LoadEnded(d.list(ledger.EndedPrefix)); err != nil || !d.l.Whole() {
+		d.t.Fatalf("whole %t: %v", d.l.Whole(), err)
+	}
+}
+
+func (d *desk) list(prefix string) []store.Item {
+	d.t.Helper()
+	items, _, err := d.st.List(d.t.Context(), prefix)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	if err := d.l.Load(items); err != nil || !d.l.Held() {
-		d.t.Fatalf("held %t: %v", d.l.Held(), err)
-	}
+	return items
 }
 
 // take returns what the ledger wants to commit next.
@@ -239,8 +247,8 @@
 	if _, ok := d.l.Job("a"); ok {
 		t.Error("kept in memory")
 	}
-	if _, err := d.st.Get(t.Context(), ledger.JobKey("a")); !errors.Is(err, store.ErrNotFound) {
-		t.Errorf("kept in the store: %v", err)
+	if left := append(d.list(ledger.OpenPrefix), d.list(ledger.EndedPrefix)...); len(left) > 0 {
+		t.Errorf("kept in the store: %v", left)
 	}
 }
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -15,16 +15,19 @@
 const (
 	// TenureKey names the holder.
 	TenureKey = "masticbay/tenure"
-	// Prefix is that of all other keys.
-	Prefix = "masticbay/ledger/"
+	// OpenPrefix is that of the jobs that have not ended, and of what belongs to them.
+	OpenPrefix = "masticbay/ledger/"
+	// EndedPrefix is that of the jobs that have ended.
+	EndedPrefix = "masticbay/ended/"
 
-	agentsKey      = Prefix + "agents"
-	jobPrefix      = Prefix + "job/"
-	progressPrefix = Prefix + "progress/"
+	agentsKey      = OpenPrefix + "agents"
+	jobPrefix      = OpenPrefix + "job/"
+	progressPrefix = OpenPrefix + "progress/"
 )
 
-// JobKey returns the key of a job.
-func JobKey(id string) string { return jobPrefix + id }
+// JobKeys returns the keys of which a job has one: that of an open job, and that of
+// one that has ended.
+func JobKeys(id string) []string { return []string{jobPrefix + id, EndedPrefix + id} }
 
 // tenure is the value of TenureKey.
 type tenure struct {
@@ -80,7 +83,7 @@
 	return v.State, nil
 }
 
-// decode takes the items of the ledger.
+// decode takes the items of open jobs.
 func (l *Ledger) decode(items []store.Item) (err error) {
 	progress := make(map[string]progressValue)
 	for _, it := range items {
@@ -132,17 +135,30 @@
 	if err := json.Unmarshal(raw, &v); err != nil {
 		return err
 	}
-	j := &Job{stored: true, closed: v.State != "", State: v.State}
-	switch {
-	case v.State != "":
-		j.ID, j.Ended = id, time.UnixMilli(v.Ended)
-		l.ended = append(l.ended, j)
-	case v.Job != nil:
-		j.Job, j.Submitted = *v.Job, time.UnixMilli(v.Submitted)
-		j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
-	default:
-		return errors.NotValidf("item without job and state")
+	if v.Job == nil || len(v.Job.Steps) == 0 {
+		return errors.NotValidf("item without a job")
 	}
+	j := &Job{Job: *v.Job, stored: true, Submitted: time.UnixMilli(v.Submitted)}
+	j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
 	l.jobs[id] = j
 	return nil
 }
+
+// decodeEnded takes the items of ended jobs; those that ended meanwhile are known.
+func (l *Ledger) decodeEnded(items []store.Item) error {
+	for _, it := range items {
+		id := strings.TrimPrefix(it.Key, EndedPrefix)
+		if _, ok := l.jobs[id]; ok {
+			continue
+		}
+		var v jobValue
+		if err := json.Unmarshal(it.Value, &v); err != nil {
+			return errors.Annotatef(err, "decoding %q", it.Key)
+		}
+		j := &Job{stored: true, closed: true, State: v.State, Ended: time.UnixMilli(v.Ended)}
+		j.ID = id
+		l.jobs[id] = j
+		l.ended = append(l.ended, j)
+	}
+	return nil
+}
--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -120,14 +120,16 @@
 
 // storedState reads the state of a job from the store; empty if there is none.
 func (e *Entry) storedState(ctx context.Context, id string) (work.State, error) {
-	it, _, err := e.store.Get(ctx, ledger.JobKey(id))
-	if errors.Is(err, store.ErrNotFound) {
-		return "", nil
-	}
-	if err != nil {
-		return "", err
+	for _, key := range ledger.JobKeys(id) {
+		it, _, err := e.store.Get(ctx, key)
+		switch {
+		case err == nil:
+			return ledger.StateOf(it)
+		case !errors.Is(err, store.ErrNotFound):
+			return "", err
+		}
 	}
-	return ledger.StateOf(it)
+	return "", nil
 }
 
 // serveCancel cancels a stored job.
--- a/site/home.go
+++ b/site/home.go
@@ -42,6 +42,7 @@
 	wanted    bool                          // a job is to be stored
 	deposed   time.Time                     // when another entry took the ledger
 	stalled   bool                          // the store was logged as silent
+	tried     time.Time                     // when the store was called last
 	retry     time.Time                     // no call of the store before
 	former    []string                      // agents that may run tasks of a former holder
 	clear     time.Time                     // when none of these can run any more
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -46,6 +46,7 @@
 		h.mu.Unlock()
 		return wait
 	}
+	h.tried = h.e.now()
 	known, loading := h.ledger.Epoch() > 0 || h.ledger.Known() && h.found == m.Term, h.ledger.Loading()
 	if !acts {
 		h.ledger.Doubt()
@@ -54,10 +55,15 @@
 		h.claim()
 	}
 	var commit *store.Commit
+	yields := h.ledger.Held() // the new home has to find a pause to take the ledger
 	var err error
-	if known && !loading {
+	if acts || !ok || h.e.now().Sub(h.ledger.Sent()) >= ledgerYield {
+		yields = false
+	}
+	if known && !loading && !yields {
 		commit, err = h.ledger.Next(h.e.now(), h.e.wall())
 	}
+	incomplete := h.ledger.Held() && !h.ledger.Whole() && commit == nil
 	h.mu.Unlock()
 	switch {
 	case err != nil:
@@ -65,6 +71,8 @@
 		return ledgerRefresh
 	case loading:
 		return h.load()
+	case incomplete:
+		return h.loadEnded()
 	case acts && !known:
 		return h.find(m.Term)
 	case commit != nil:
@@ -111,7 +119,7 @@
 
 // load reads the ledger after it was claimed.
 func (h *home) load() time.Duration {
-	items, err := h.way.list(ledger.Prefix)
+	items, err := h.way.list(ledger.OpenPrefix)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
@@ -136,6 +144,22 @@
 	return 0
 }
 
+// loadEnded reads the jobs that have ended, so that new ones can be accepted.
+func (h *home) loadEnded() time.Duration {
+	items, err := h.way.list(ledger.EndedPrefix)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		return h.stall(h.e.now(), err)
+	}
+	if err := h.ledger.LoadEnded(items); err != nil {
+		h.e.log.Error().Err(err).Msg("ledger: ended jobs not understood")
+		return ledgerRefresh
+	}
+	h.e.log.Info().Uint64("epoch", h.ledger.Epoch()).Int("items", len(items)).Msg("ledger read whole")
+	return 0
+}
+
 // restore gives the core a job that is stored. The caller holds mu.
 func (h *home) restore(now time.Time, j *ledger.Job) {
 	w := j.Job
@@ -205,8 +229,9 @@
 		h.stalled = true
 		h.e.log.Warn().Err(err).Str("via", h.way.now()).Msg("ledger: the store does not answer")
 	}
-	h.retry = now.Add(ledgerRetry)
-	return ledgerRetry
+	// A call that was not answered has taken longer than the pause.
+	h.retry = h.tried.Add(ledgerRetry)
+	return max(h.retry.Sub(now), 0)
 }
 
 // last does what has waited for a fact to be stored. The caller holds mu.
@@ -262,7 +287,7 @@
 	id := args.Job.ID
 	h.mu.Lock()
 	now := h.e.now()
-	if !h.acts() || !h.ledger.Held() {
+	if !h.acts() || !h.ledger.Whole() {
 		h.wanted = true
 		h.mu.Unlock()
 		h.wakeLedger()
--- a/site/home_way.go
+++ b/site/home_way.go
@@ -20,17 +20,19 @@
 type storeWay struct {
 	e *Entry
 
-	mu  sync.Mutex // guards via
-	via string     // address of the entry that passes calls on; empty for none
+	mu    sync.Mutex    // guards what follows
+	via   string        // address of the entry that passes calls on; empty for none
+	limit time.Duration // for the answer to the next commit
 }
 
-func newStoreWay(e *Entry) *storeWay { return &storeWay{e: e} }
+func newStoreWay(e *Entry) *storeWay { return &storeWay{e: e, limit: commitPatience} }
 
 // StoreArgs is a call that an entry passes on to the store.
 type StoreArgs struct {
 	Key    string        // to be read, if set
 	Prefix string        // to be listed, if set
 	Commit *store.Commit // to be carried out, if set
+	Limit  time.Duration // for the answer to a commit
 }
 
 // StoreReply is the answer.
@@ -61,7 +63,12 @@
 }
 
 func (w *storeWay) commit(c *store.Commit) (rev uint64, err error) {
-	rep, err := w.call(&StoreArgs{Commit: c})
+	w.mu.Lock()
+	limit := w.limit
+	w.mu.Unlock()
+	sent := w.e.now()
+	rep, err := w.call(&StoreArgs{Commit: c, Limit: limit})
+	w.learn(w.e.now().Sub(sent), err)
 	switch {
 	case err != nil:
 		return 0, err
@@ -71,6 +78,23 @@
 	return rep.Revision, nil
 }
 
+// patience is how many times as long as for the last answer a commit waits.
+const patience = 4
+
+// learn sets how long the next commit waits. A short wait costs nothing but a call,
+// since a commit that was carried out is known by the conflict of the next one; a
+// long wait costs everybody that time when an answer is lost.
+func (w *storeWay) learn(took time.Duration, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err == nil:
+		w.limit = min(max(patience*took, commitPatience), relayTimeout)
+	case !errors.Is(err, store.ErrRefused):
+		w.limit = min(2*w.limit, relayTimeout)
+	}
+}
+
 // call tries the present way. If that fails, the next call tries another.
 func (w *storeWay) call(args *StoreArgs) (rep *StoreReply, err error) {
 	w.mu.Lock()
@@ -124,6 +148,8 @@
 	rep = &StoreReply{}
 	switch {
 	case args.Commit != nil:
+		ctx, cancel := context.WithTimeout(ctx, args.Limit)
+		defer cancel()
 		rep.Revision, err = e.store.Commit(ctx, args.Commit)
 		if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
 			rep.Conflict, err = &conflict.Have, nil
--- a/site/site.go
+++ b/site/site.go
@@ -77,20 +77,22 @@
 
 // The ledger of stored jobs.
 const (
-	tenureLife    = 5 * time.Second        // how long a holder may go on without the store; its outages last that long
-	tenureMargin  = time.Second            // before the end of it no task is placed any more
-	handover      = 750 * time.Millisecond // silence of the holder after which an agent stops runs of stored jobs; the next one is there after 400 to 500 ms
-	agentLostHeld = handover + workerLease + 100*time.Millisecond
-	tenureClear   = tenureLife + workerLease + 500*time.Millisecond // from a claim on: no run of a former holder is left; a tick, a stop and slack included
-	ledgerRefresh = 700 * time.Millisecond                          // between commits, far more often than tenureLife
-	ledgerGap     = 10 * time.Millisecond                           // between commits; as long as two answers of the store take
-	ledgerRetry   = 60 * time.Millisecond                           // after a commit that was not answered
-	ledgerEntries = 32                                              // most conditions, writes and deletions of a commit that the store takes
-	ledgerStalled = 600 * time.Millisecond                          // without an answer from the store: no job is accepted
-	claimPause    = 2 * time.Second                                 // before a home claims the ledger again that another one took from it
-	statusKept    = 20 * time.Second                                // how long an ended job is kept beyond what callers are promised
-	stateWait     = 500 * time.Millisecond                          // for the end of a running job that a caller asks about
-	stateFallback = 400 * time.Millisecond                          // without an answer from the holder: the store is asked
+	tenureLife     = 5 * time.Second        // how long a holder may go on without the store; its outages last that long
+	tenureMargin   = time.Second            // before the end of it no task is placed any more
+	handover       = 750 * time.Millisecond // silence of the holder after which an agent stops runs of stored jobs; the next one is there after 400 to 500 ms
+	agentLostHeld  = handover + workerLease + 100*time.Millisecond
+	tenureClear    = tenureLife + workerLease + 500*time.Millisecond // from a claim on: no run of a former holder is left; a tick, a stop and slack included
+	ledgerRefresh  = 700 * time.Millisecond                          // between commits, far more often than tenureLife
+	ledgerGap      = 10 * time.Millisecond                           // between commits; as long as two answers of the store take
+	ledgerYield    = 60 * time.Millisecond                           // between commits of a holder that is not home any more
+	ledgerRetry    = 60 * time.Millisecond                           // between calls of the store that fail at once
+	ledgerEntries  = 32                                              // most conditions, writes and deletions of a commit that the store takes
+	ledgerStalled  = 600 * time.Millisecond                          // without an answer from the store: no job is accepted
+	commitPatience = 100 * time.Millisecond                          // for the answer to a first commit, 20 times the usual; doubled each time there is none
+	claimPause     = 2 * time.Second                                 // before a home claims the ledger again that another one took from it
+	statusKept     = 20 * time.Second                                // how long an ended job is kept beyond what callers are promised
+	stateWait      = 500 * time.Millisecond                          // for the end of a running job that a caller asks about
+	stateFallback  = 400 * time.Millisecond                          // without an answer from the holder: the store is asked
 )
 
 // requestLines bounds the lines about single jobs and runs, a second and process,
