--- a/schedule/core.go
+++ b/schedule/core.go
@@ -38,14 +38,16 @@
 
 // Config holds the limits of a Core.
 type Config struct {
-	Suspect   time.Duration // silence of an agent after which it gets no new task
-	Lost      time.Duration // silence of an agent after which its runs have ended
-	LostHeld  time.Duration // the same for runs of stored jobs
-	Far       float64       // multiple of its run time that a task takes away from its data; 1 if less
-	Late      float64       // multiple of the objective after which an answer is of no use
-	Margin    time.Duration // time for messages between a placement and its start, and back
-	Remember  int           // ended jobs whose outcome is kept for callers that ask again
-	MaxQueued int           // tasks that wait
+	Suspect time.Duration // silence of an agent after which it gets no new task
+	// SuspectIdle is the same for an agent without tasks, which is asked less often.
+	SuspectIdle time.Duration
+	Lost        time.Duration // silence of an agent after which its runs have ended
+	LostHeld    time.Duration // the same for runs of stored jobs
+	Far         float64       // multiple of its run time that a task takes away from its data; 1 if less
+	Late        float64       // multiple of the objective after which an answer is of no use
+	Margin      time.Duration // time for messages between a placement and its start, and back
+	Remember    int           // ended jobs whose outcome is kept for callers that ask again
+	MaxQueued   int           // tasks that wait
 }
 
 // Core is the state of a home. NewCore makes one.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -82,7 +82,11 @@
 
 // usable reports whether a worker is in contact and serves.
 func (c *Core) usable(now time.Time, t *target) bool {
-	return t.ready && !t.Draining && now.Sub(t.heard) <= c.cfg.Suspect
+	silence := max(c.cfg.Suspect, c.cfg.SuspectIdle)
+	if len(t.runs) > 0 {
+		silence = c.cfg.Suspect
+	}
+	return t.ready && !t.Draining && now.Sub(t.heard) <= silence
 }
 
 // mostFree returns the largest free processor room of any worker, so that jobs
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -34,6 +35,9 @@
 func (m *entryMethods) Greet(args *GreetArgs, reply *GreetReply) error {
 	m.e.hear((*GreetReply)(args))
 	*reply = GreetReply(m.e.greeting(args.Member.Address))
+	if reply.Sum == args.Sum {
+		reply.Panel = nil
+	}
 	return nil
 }
 
@@ -50,6 +54,7 @@
 	e.mu.Lock()
 	now := e.now()
 	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
+	args.Sum = sumOf(args.Panel)
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
@@ -61,6 +66,15 @@
 	return args
 }
 
+// sumOf tells panels apart.
+func sumOf(panel []string) uint64 {
+	h := fnv.New64a()
+	for _, a := range panel {
+		_, _ = h.Write([]byte(a)) // never fails
+	}
+	return h.Sum64()
+}
+
 // hear takes what another entry told.
 func (e *Entry) hear(g *GreetReply) {
 	e.mu.Lock()
@@ -80,8 +94,6 @@
 // entries that are known with each round of the panel, so that parts of a site that
 // do not know each other become one.
 func (e *Entry) greetDuty() {
-	tick := time.NewTicker(greetHome)
-	defer tick.Stop()
 	last := make(map[string]time.Time)
 	var other time.Time
 	for {
@@ -99,11 +111,17 @@
 		select {
 		case <-e.stop:
 			return
-		case <-tick.C:
+		case <-time.After(greetPause(len(e.known.all()))):
 		}
 	}
 }
 
+// greetPause is the pause between greetings of the home: longer on large sites, so
+// that a home is greeted at most about 500 times a second.
+func greetPause(entries int) time.Duration {
+	return min(max(greetHome, time.Duration(entries)*greetPerEntry), greetHomeMost)
+}
+
 // greetNow returns the entries to greet now, those that are known and need not be
 // greeted regularly, and whether no home is known.
 func (e *Entry) greetNow(now time.Time, last map[string]time.Time) (due, rest []string, lost bool) {
@@ -111,6 +129,8 @@
 	e.mu.Lock()
 	panel := e.roster.Panel(now)
 	e.mu.Unlock()
+	// Others may see entries on the panel that are not known here yet.
+	panel = append(panel, e.known.since(now.Add(-panelTold))...)
 	for _, address := range e.known.all() {
 		onPanel := slices.Contains(panel, address)
 		often := e.hasJobsAt(address) || onPanel && !ok || address == home.Address && now.Sub(last[address]) >= greetIdle-greetHome/2
@@ -155,6 +175,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
 	args := e.greeting(address)
+	args.Panel = nil
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
 	if err != nil {
 		e.renew(address)
@@ -269,7 +290,7 @@
 		items, err := e.store.List(ctx, entriesPrefix)
 		if err == nil {
 			for _, it := range items {
-				e.known.add(e.now(), string(it.Value))
+				e.known.add(time.Time{}, string(it.Value))
 			}
 			err = e.store.Put(ctx, entriesPrefix+e.node.Name, []byte(e.node.Internal))
 		}
--- a/site/home.go
+++ b/site/home.go
@@ -22,6 +22,8 @@
 
 	mu      sync.Mutex // guards what follows
 	closed  bool
+	linked  time.Time // when keepLinks ran last
+	acted   bool      // this entry was home then
 	core    *schedule.Core
 	waiters map[string][]*waiter // by job
 	links   map[string]*link     // by agent
@@ -215,7 +217,6 @@
 func (h *home) step() bool {
 	m, ok := h.e.currentHome()
 	acts := ok && m.Life == h.e.life
-	agents := h.e.knownAgents()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
@@ -228,6 +229,20 @@
 	waiting, running := h.core.Load()
 	h.e.metrics.waiting.Update(float64(waiting))
 	h.e.metrics.running.Update(float64(running))
+	if now.Sub(h.linked) >= linksEvery || acts != h.acted {
+		h.linked, h.acted = now, acts
+		h.keepLinks(now, acts, running)
+	}
+	return waiting > 0 || running > 0
+}
+
+// linksEvery is how often a home looks for agents that came or are gone.
+const linksEvery = 50 * time.Millisecond
+
+// keepLinks keeps a link to each agent that is known, while there is use for it. The
+// caller holds mu.
+func (h *home) keepLinks(now time.Time, acts bool, running int) {
+	agents := h.e.knownAgents()
 	if acts || running > 0 {
 		h.enroll(now, agents)
 		agents = append(agents, h.unclear(now)...)
@@ -247,7 +262,6 @@
 			delete(h.links, a)
 		}
 	}
-	return waiting > 0 || running > 0
 }
 
 // close ends all links.
--- a/site/link.go
+++ b/site/link.go
@@ -67,23 +67,19 @@
 }
 
 // wait is how long the next exchange waits for news: not at all before the agent
-// was heard.
+// was heard, and longer on large sites, most of all while the agent has no tasks, so
+// that a home makes at most about a thousand exchanges a second.
 func (l *link) wait() time.Duration {
 	l.h.mu.Lock()
-	heard := l.echo > 0
-	l.h.mu.Unlock()
-	if !heard {
+	defer l.h.mu.Unlock()
+	wait := max(syncWait, time.Duration(len(l.h.links))*syncPerLink)
+	switch {
+	case l.echo == 0:
 		return 0
+	case l.h.core.Uses(l.agent):
+		return min(wait, syncWaitMost)
 	}
-	return l.h.syncWait()
-}
-
-// syncWait is how long an exchange waits for news of an agent: longer on large
-// sites, so that a home makes at most about a thousand a second.
-func (h *home) syncWait() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return min(max(syncWait, time.Duration(len(h.links))*syncPerLink), syncWaitMost)
+	return min(wait, syncWaitIdle)
 }
 
 // linkPause is the pause after a sync that failed.
--- a/site/messages.go
+++ b/site/messages.go
@@ -75,8 +75,11 @@
 // GreetArgs is exchanged between entries.
 type GreetArgs struct {
 	Member  roster.Member
-	Session uint64         // of the sender at the receiver; see RunArgs
-	Panel   []string       // entries that all others greet, as the sender sees them
+	Session uint64 // of the sender at the receiver; see RunArgs
+	// Panel are the entries that all others greet, as the sender sees them; empty if
+	// that is what the receiver was told last, going by Sum.
+	Panel   []string
+	Sum     uint64
 	Config  uint64         // version of the configuration that it has in force
 	Waiting map[string]int // by queue: stored jobs that have not begun, if the sender is home
 }
--- a/site/site.go
+++ b/site/site.go
@@ -53,14 +53,19 @@
 	orderLife     = 400 * time.Millisecond // oldest echo with which an agent takes an order
 	syncWait      = 100 * time.Millisecond // so an agent hears its home four times in agentContact
 	syncPerLink   = time.Millisecond
-	syncWaitMost  = 200 * time.Millisecond // agentSuspect less the time of a message that is sent again
+	greetPerEntry = 2500 * time.Microsecond // of the pause between greetings of a home, for each entry that is known
+	syncWaitMost  = 200 * time.Millisecond  // agentSuspect less the time of a message that is sent again
+	syncWaitIdle  = 400 * time.Millisecond  // of agents without tasks
+	suspectIdle   = syncWaitIdle + 150*time.Millisecond
 	syncSlack     = 250 * time.Millisecond // for the answer to a sync that has waited
 	agentSuspect  = 300 * time.Millisecond // silence of an agent after which it gets no new task
 	agentLost     = agentContact + workerLease + 100*time.Millisecond
 	entryContact  = 450 * time.Millisecond // silence of an entry after which a home withdraws its jobs
 	homeSilence   = 350 * time.Millisecond // silence after which a home counts as lost
 	greetHome     = 100 * time.Millisecond // so a home hears an entry four times in entryContact
+	greetHomeMost = 150 * time.Millisecond // so a home hears an entry three times in entryContact
 	greetIdle     = 200 * time.Millisecond // of a home that has no jobs from here; shorter than homeSilence
+	panelTold     = time.Second            // how long entries are greeted like the panel after another one told them
 	greetOthers   = 400 * time.Millisecond
 	greetTimeout  = 250 * time.Millisecond
 	peerSilence   = 1200 * time.Millisecond             // of entries that are not home
@@ -115,7 +120,7 @@
 // HomeConfig returns the limits by which a home places tasks.
 func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
-		Suspect: agentSuspect, Lost: agentLost, LostHeld: agentLostHeld, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
+		Suspect: agentSuspect, SuspectIdle: suspectIdle, Lost: agentLost, LostHeld: agentLostHeld, Far: n.FarFactor, Late: 3, Margin: 5 * time.Millisecond,
 		Remember: 4096, MaxQueued: 20000,
 	}
 }
