Commit to the ledger side by side

Commits are now conditional on the tenure without writing it and go side by side, each about jobs of its own; after one that got no answer the tenure is written anew, and what it held is sent again.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -4,10 +4,10 @@
 // # Model
 //
 // One entry at a time holds the ledger. Its tenure is a key in the store that
-// names it; every commit of the holder is conditional on that key's revision and
-// writes it anew. So commits follow one another, a commit that the store carries
-// out late fails, and the commits of a former holder fail once another entry has
-// taken the key. The number of the tenure, its epoch, goes to agents with every
+// names it; every commit of the holder is conditional on that key's revision. So
+// the commits of a former holder fail once another entry has taken the key, and
+// those that were not answered fail once the holder has written it anew (see
+// Flight). The number of the tenure, its epoch, goes to agents with every
 // order; they take none of an earlier epoch.
 //
 // A job has one item from its acceptance on. A short one elsewhere takes its place
@@ -17,16 +17,17 @@
 // enrolled first, so that the next holder knows whom to ask what still runs.
 //
 // Ledger holds this state in memory. It has no goroutines, sockets or clocks:
-// Next returns what to commit, and Took, Refused and Lost take what came of it.
+// Next returns what to commit, and Took, Conflict, Refused and Lost take what came
+// of it.
 //
 // # Usage
 //
 //	l := ledger.New(cfg, "entry-1")
-//	l.Find(now, item)            // the holder as the store names it
-//	l.Claim(now)
-//	if c := l.Next(now); c != nil {
-//		rev, err := st.Commit(ctx, c)
-//		facts := l.Took(now, rev)
+//	l.Find(item) // the holder as the store names it
+//	l.Claim()
+//	if f, err := l.Next(now, wall); f != nil {
+//		rev, err := st.Commit(ctx, f.Commit())
+//		facts := l.Took(f, rev)
 //	}
 package ledger
 
@@ -43,6 +44,7 @@
 	Refresh time.Duration // the longest time between commits while jobs are open
 	Gap     time.Duration // the shortest time between commits, so that changes share them
 	Entries int           // most conditions, writes and deletions of a commit
+	Flights int           // most commits side by side
 }
 
 // phase is what an entry knows of the ledger.
@@ -65,9 +67,14 @@
 	tenure tenure
 	rev    uint64 // of the key of the tenure
 
-	owned   time.Time // when the last commit that was carried out was sent
-	sent    time.Time // when the last commit was sent first
-	flight  *flight
+	owned   time.Time       // when the last commit that was carried out was sent
+	sent    time.Time       // when the last commit was sent first
+	failing time.Time       // since when no commit was carried out although some were sent; zero if the last was
+	turn    *Flight         // that writes the tenure
+	flights []*Flight       // the others
+	lost    []*Flight       // of these, those that were not answered
+	busy    map[string]bool // jobs in flights and lost
+	trash   []string        // keys to delete
 	jobs    map[string]*Job
 	changes map[string][]Fact // by job: what has to be committed about it
 	order   []string          // of changes
@@ -85,8 +92,10 @@
 }
 
 func (l *Ledger) forget() {
-	l.flight, l.order, l.ended, l.roll, l.whole = nil, nil, nil, false, false
+	l.turn, l.flights, l.lost, l.trash = nil, nil, nil, nil
+	l.order, l.ended, l.roll, l.whole, l.failing = nil, nil, false, false, time.Time{}
 	l.jobs, l.changes, l.agents = make(map[string]*Job), make(map[string][]Fact), make(map[string]bool)
+	l.busy = make(map[string]bool)
 }
 
 // Job is a stored job.
@@ -98,6 +107,7 @@
 	State     work.State           // empty while it is open
 	Ended     time.Time
 	stored    bool // its item is in the store
+	tried     bool // its item may be in the store
 	closed    bool // the store has its end
 	progress  bool // the item about its progress is, too
 }
@@ -145,12 +155,13 @@
 // Owned returns when the tenure was last known to hold.
 func (l *Ledger) Owned() time.Time { return l.owned }
 
-// Stalled reports for how long the store has not answered a commit.
+// Stalled returns for how long the store has carried out no commit although some were
+// sent.
 func (l *Ledger) Stalled(now time.Time) time.Duration {
-	if l.flight == nil {
+	if l.failing.IsZero() {
 		return 0
 	}
-	return now.Sub(l.flight.first)
+	return now.Sub(l.failing)
 }
 
 // Job returns a job, and false if there is none of the name.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -13,7 +13,7 @@
 	"masticbay/work"
 )
 
-var cfg = ledger.Config{Keep: time.Minute, Refresh: 700 * time.Millisecond, Gap: 10 * time.Millisecond, Entries: 32}
+var cfg = ledger.Config{Keep: time.Minute, Refresh: 700 * time.Millisecond, Gap: 10 * time.Millisecond, Entries: 32, Flights: 4}
 
 // desk plays the store and the duty of one home around a Ledger.
 type desk struct {
@@ -63,40 +63,39 @@
 }
 
 // take returns what the ledger wants to commit next.
-func (d *desk) take() *store.Commit {
+func (d *desk) take() *ledger.Flight {
 	d.t.Helper()
 	d.now = d.now.Add(cfg.Gap)
-	c, err := d.l.Next(d.now, d.now)
+	f, err := d.l.Next(d.now, d.now)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	return c
+	return f
 }
 
 // commit carries out what the ledger wants to commit and reports whether it was
 // deposed.
 func (d *desk) commit() (deposed bool) {
 	d.t.Helper()
-	c := d.take()
-	if c == nil {
-		return false
-	}
+	f := d.take()
+	return f != nil && d.carryOut(f)
+}
+
+// carryOut lets the store carry a commit out, and tells the result.
+func (d *desk) carryOut(f *ledger.Flight) (deposed bool) {
+	d.t.Helper()
+	c := f.Commit()
 	if n := 1 + len(c.Writes) + len(c.Deletes); n > cfg.Entries {
 		d.t.Fatalf("commit of %d entries", n)
 	}
 	rev, err := d.st.Commit(c)
-	return d.result(rev, err)
-}
-
-func (d *desk) result(rev uint64, err error) (deposed bool) {
-	d.t.Helper()
 	var facts []ledger.Fact
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
-		if facts, deposed, err = d.l.Conflict(conflict.Have); err != nil {
+		if facts, deposed, err = d.l.Conflict(f, conflict.Have); err != nil {
 			d.t.Fatal(err)
 		}
 	} else {
-		facts = d.l.Took(rev)
+		facts = d.l.Took(f, rev)
 	}
 	d.facts = append(d.facts, facts...)
 	return deposed
@@ -138,45 +137,97 @@
 	d := newDesk(t)
 	d.hold()
 	d.accept("a")
-	if c := d.take(); c == nil || d.l.Stored("a") || len(d.facts) != 0 {
-		t.Fatalf("commit %v, stored %t, facts %v", c, d.l.Stored("a"), d.facts)
+	f := d.take()
+	if f == nil || d.l.Stored("a") || len(d.facts) != 0 {
+		t.Fatalf("stored %t, facts %v", d.l.Stored("a"), d.facts)
 	}
-	d.commit()
+	d.carryOut(f)
 	if !d.l.Stored("a") || len(d.facts) != 1 || d.facts[0].Kind != ledger.Accepted {
 		t.Errorf("stored %t, facts %v", d.l.Stored("a"), d.facts)
 	}
 }
 
-// TestLostAnswerIsFoundOut: a commit that was carried out without an answer is sent
-// again, and its condition tells that it was.
-func TestLostAnswerIsFoundOut(t *testing.T) {
+// TestUnansweredCommitIsSentAgainUnderANewRevision, whether it was carried out or not.
+func TestUnansweredCommitIsSentAgainUnderANewRevision(t *testing.T) {
+	for _, done := range []bool{true, false} {
+		d := newDesk(t)
+		d.hold()
+		d.accept("a")
+		f := d.take()
+		if done {
+			if _, err := d.st.Commit(f.Commit()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		d.l.Lost(d.now, f)
+		d.accept("b")
+		d.commit() // renews the tenure
+		if d.l.Stored("a") || d.l.Stored("b") {
+			t.Fatal("stored before it is known")
+		}
+		d.commit()
+		if !d.l.Stored("a") || !d.l.Stored("b") || len(d.facts) != 2 {
+			t.Errorf("carried out %t: facts %v", done, d.facts)
+		}
+		if _, err := d.st.Commit(f.Commit()); err == nil {
+			t.Error("the store may still carry out the unanswered commit")
+		}
+	}
+}
+
+// TestJobThatEndsBeforeItsCreationIsKnownLeavesNoOpenItem: the commit that created it
+// may have been carried out.
+func TestJobThatEndsBeforeItsCreationIsKnownLeavesNoOpenItem(t *testing.T) {
 	d := newDesk(t)
 	d.hold()
 	d.accept("a")
-	if _, err := d.st.Commit(d.take()); err != nil {
+	f := d.take()
+	if _, err := d.st.Commit(f.Commit()); err != nil {
 		t.Fatal(err)
 	}
-	if deposed := d.commit(); deposed || !d.l.Stored("a") {
-		t.Errorf("deposed %t, stored %t", deposed, d.l.Stored("a"))
+	d.l.Lost(d.now, f)
+	d.l.Close(d.now, "a", work.Cancelled)
+	for range 3 {
+		d.commit()
+	}
+	if left := d.list(ledger.OpenPrefix); len(left) != 0 {
+		t.Errorf("open items %v", left)
 	}
-	d.accept("b")
-	if deposed := d.commit(); deposed || !d.l.Stored("b") {
-		t.Errorf("the commit after it: deposed %t, stored %t", deposed, d.l.Stored("b"))
+	if len(d.list(ledger.EndedPrefix)) != 1 {
+		t.Error("the end is not stored")
 	}
 }
 
-// TestLateCommitDoesNotUndoALaterOne: what the store carries out late must not bring
-// back a job that has ended since.
-func TestLateCommitDoesNotUndoALaterOne(t *testing.T) {
+func TestCommitsSideBySideShareNoJob(t *testing.T) {
 	d := newDesk(t)
 	d.hold()
 	d.accept("a")
-	late := *d.take()
+	first := d.take()
+	d.l.Close(d.now, "a", work.Cancelled)
+	d.accept("b")
+	second := d.take()
+	if second == nil || len(second.Commit().Writes) != 1 {
+		t.Fatalf("second commit %+v", second)
+	}
+	d.carryOut(second)
+	if !d.l.Stored("b") || d.l.Stored("a") {
+		t.Error("the second commit was not taken by itself")
+	}
+	d.carryOut(first)
 	d.commit()
-	d.l.Close(d.now, "a", work.Completed)
+	if d.l.Pending("a") {
+		t.Error("the end of a was not committed after its creation")
+	}
+}
+
+func TestRefusedCommitIsSentAgain(t *testing.T) {
+	d := newDesk(t)
+	d.hold()
+	d.accept("a")
+	d.l.Refused(d.now, d.take())
 	d.commit()
-	if _, err := d.st.Commit(&late); err == nil {
-		t.Error("the late commit was carried out")
+	if !d.l.Stored("a") || d.l.Stalled(d.now) != 0 {
+		t.Errorf("stored %t, stalled %v", d.l.Stored("a"), d.l.Stalled(d.now))
 	}
 }
 
@@ -189,8 +240,7 @@
 	stale := d.take() // on its way while another entry takes the ledger
 	o := d.next("e2")
 	o.hold()
-	rev, err := d.st.Commit(stale)
-	if deposed := d.result(rev, err); !deposed || d.l.Epoch() != 0 {
+	if deposed := d.carryOut(stale); !deposed || d.l.Epoch() != 0 {
 		t.Errorf("deposed %t, epoch %d", deposed, d.l.Epoch())
 	}
 	if len(o.l.Open()) != 1 || o.l.Epoch() != 2 {
@@ -207,9 +257,11 @@
 		t.Fatal(err)
 	}
 	d.l.Claim()
-	if _, err := d.st.Commit(d.take()); err != nil {
+	f := d.take()
+	if _, err := d.st.Commit(f.Commit()); err != nil {
 		t.Fatal(err)
 	}
+	d.l.Lost(d.now, f)
 	d.commit()
 	if d.l.Epoch() != 1 || !d.l.Loading() {
 		t.Errorf("epoch %d, loading %t", d.l.Epoch(), d.l.Loading())
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -138,7 +138,7 @@
 	if v.Job == nil || len(v.Job.Steps) == 0 {
 		return errors.NotValidf("item without a job")
 	}
-	j := &Job{Job: *v.Job, stored: true, Submitted: time.UnixMilli(v.Submitted)}
+	j := &Job{Job: *v.Job, stored: true, tried: true, Submitted: time.UnixMilli(v.Submitted)}
 	j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
 	l.jobs[id] = j
 	return nil
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -52,16 +52,16 @@
 	if acts && known {
 		h.claim()
 	}
-	var commit *store.Commit
+	var next *ledger.Flight
 	yields := h.ledger.Held() // the new home has to find a pause to take the ledger
 	var err error
 	if acts || !ok || h.e.now().Sub(h.ledger.Sent()) >= ledgerYield {
 		yields = false
 	}
 	if known && !loading && !yields {
-		commit, err = h.ledger.Next(h.e.now(), h.e.wall())
+		next, err = h.ledger.Next(h.e.now(), h.e.wall())
 	}
-	incomplete := h.ledger.Held() && !h.ledger.Whole() && commit == nil
+	incomplete := h.ledger.Held() && !h.ledger.Whole() && next == nil
 	h.mu.Unlock()
 	switch {
 	case err != nil:
@@ -73,8 +73,9 @@
 		return h.loadEnded()
 	case acts && !known:
 		return h.find(m.Term)
-	case commit != nil:
-		return h.commit(commit)
+	case next != nil:
+		go h.commit(next)
+		return 0
 	}
 	return h.ledgerPause()
 }
@@ -185,8 +186,9 @@
 }
 
 // commit sends a commit and takes its result.
-func (h *home) commit(c *store.Commit) time.Duration {
-	rev, err := h.way.commit(c)
+func (h *home) commit(f *ledger.Flight) {
+	defer h.wakeLedger()
+	rev, err := h.way.commit(f.Commit())
 	conflict, conflicts := errors.AsType[*store.ConflictError](err)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -194,20 +196,26 @@
 	var facts []ledger.Fact
 	switch {
 	case err == nil:
-		facts = h.ledger.Took(rev)
+		facts = h.ledger.Took(f, rev)
 	case conflicts:
 		var deposed bool
-		if facts, deposed, err = h.ledger.Conflict(conflict.Have); err != nil {
+		if facts, deposed, err = h.ledger.Conflict(f, conflict.Have); err != nil {
 			h.e.log.Error().Err(err).Msg("ledger: holder not understood")
-			return ledgerRefresh
+			return
 		}
 		h.e.log.Info().Bool("deposed", deposed).Str("holder", h.ledger.Holder()).Uint64("revision", conflict.Have.Revision).Msg("ledger: the condition of a commit does not hold")
 		if deposed {
 			h.deposed = now
 			h.dropAccepts()
 		}
+	case errors.Is(err, store.ErrRefused):
+		h.ledger.Refused(now, f)
+		h.stall(now, err)
+		return
 	default:
-		return h.stall(now, err)
+		h.ledger.Lost(now, f)
+		h.stall(now, err)
+		return
 	}
 	if h.stalled {
 		h.stalled = false
@@ -218,7 +226,6 @@
 		h.last(now, &facts[i])
 	}
 	h.flush()
-	return 0
 }
 
 // stall notes that the store did not answer. The caller holds mu.
--- a/site/home_way.go
+++ b/site/home_way.go
@@ -68,7 +68,7 @@
 	w.mu.Unlock()
 	sent := w.e.now()
 	rep, err := w.call(&StoreArgs{Commit: c, Limit: limit})
-	w.learn(w.e.now().Sub(sent), err)
+	w.learn(limit, w.e.now().Sub(sent), err)
 	switch {
 	case err != nil:
 		return 0, err
@@ -84,14 +84,14 @@
 // learn sets how long the next commit waits. A short wait costs nothing but a call,
 // since a commit that was carried out is known by the conflict of the next one; a
 // long wait costs everybody that time when an answer is lost.
-func (w *storeWay) learn(took time.Duration, err error) {
+func (w *storeWay) learn(limit, took time.Duration, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case err == nil:
 		w.limit = min(max(patience*took, commitPatience), relayTimeout)
 	case !errors.Is(err, store.ErrRefused):
-		w.limit = min(2*w.limit, relayTimeout)
+		w.limit = min(max(w.limit, 2*limit), relayTimeout)
 	}
 }
 
@@ -178,5 +178,5 @@
 }
 
 func ledgerConfig(n *platform.Node) ledger.Config {
-	return ledger.Config{Keep: n.StatusKept + statusKept, Refresh: ledgerRefresh, Gap: ledgerGap, Entries: ledgerEntries}
+	return ledger.Config{Keep: n.StatusKept + statusKept, Refresh: ledgerRefresh, Gap: ledgerGap, Entries: ledgerEntries, Flights: ledgerFlights}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -91,6 +91,7 @@
 	ledgerGap      = 10 * time.Millisecond                           // between commits; as long as two answers of the store take
 	ledgerYield    = 60 * time.Millisecond                           // between commits of a holder that is not home any more
 	ledgerRetry    = 60 * time.Millisecond                           // between calls of the store that fail at once
+	ledgerFlights  = 8                                               // commits side by side: at 60 times its usual delay the store answers 4 a second on each
 	ledgerEntries  = 32                                              // most conditions, writes and deletions of a commit that the store takes
 	ledgerStalled  = 600 * time.Millisecond                          // without an answer from the store: no job is accepted
 	commitPatience = 100 * time.Millisecond                          // for the answer to a first commit, 20 times the usual; doubled each time there is none
