--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -40,42 +40,42 @@
 	m, ok := h.e.currentHome()
 	acts := ok && m.Life == h.e.life
 	h.mu.Lock()
-	if wait := h.retry.Sub(h.e.now()); wait > 0 {
+	now := h.e.now()
+	if wait := h.retry.Sub(now); wait > 0 {
 		h.mu.Unlock()
 		return wait
 	}
-	h.tried = h.e.now()
-	known, loading := h.ledger.Epoch() > 0 || h.ledger.Known() && h.found == m.Term, h.ledger.Loading()
+	h.tried = now
 	if !acts {
 		h.ledger.Doubt()
 	}
-	if acts && known {
+	known := h.ledger.Epoch() > 0 || h.ledger.Known() && h.found == m.Term
+	switch {
+	case acts && !known:
+		h.mu.Unlock()
+		return h.find(m.Term)
+	case h.ledger.Loading():
+		h.mu.Unlock()
+		return h.load()
+	case acts:
 		h.claim()
+	case h.ledger.Held() && ok && now.Sub(h.ledger.Sent()) < ledgerYield:
+		// The new home has to find a pause in which it can take the ledger.
+		h.mu.Unlock()
+		return ledgerGap
 	}
-	var next *ledger.Flight
-	yields := h.ledger.Held() // the new home has to find a pause to take the ledger
-	var err error
-	if acts || !ok || h.e.now().Sub(h.ledger.Sent()) >= ledgerYield {
-		yields = false
-	}
-	if known && !loading && !yields {
-		next, err = h.ledger.Next(h.e.now(), h.e.wall())
-	}
-	incomplete := h.ledger.Held() && !h.ledger.Whole() && next == nil
+	next, err := h.ledger.Next(now, h.e.wall())
+	incomplete := h.ledger.Held() && !h.ledger.Whole()
 	h.mu.Unlock()
 	switch {
 	case err != nil:
 		h.e.log.Error().Err(err).Msg("ledger: commit not made")
 		return ledgerRefresh
-	case loading:
-		return h.load()
-	case incomplete:
-		return h.loadEnded()
-	case acts && !known:
-		return h.find(m.Term)
 	case next != nil:
 		go h.commit(next)
 		return 0
+	case incomplete:
+		return h.loadEnded()
 	}
 	return h.ledgerPause()
 }
--- a/site/home_way.go
+++ b/site/home_way.go
@@ -81,9 +81,9 @@
 // patience is how many times as long as for the last answer a commit waits.
 const patience = 4
 
-// learn sets how long the next commit waits. A short wait costs nothing but a call,
-// since a commit that was carried out is known by the conflict of the next one; a
-// long wait costs everybody that time when an answer is lost.
+// learn sets how long the next commit waits. A wait that is too short costs two calls,
+// as the commit is sent again; one that is too long holds everybody up when an answer
+// is lost.
 func (w *storeWay) learn(limit, took time.Duration, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
