Acknowledge ends of runs of forgotten jobs; restore failures by occurrence

Found on reading: a commit that held only such an end was never sent, so its agent would have kept it for good; failures of a later occurrence were counted for the first.

--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -37,7 +37,7 @@
 type flightKind int
 
 const (
-	plain flightKind = iota // conditional on the tenure
+	plain flightKind = iota // about jobs, on condition that the tenure is as it was
 	renew                   // writes the tenure anew
 	claim                   // takes the tenure over
 )
@@ -143,12 +143,31 @@
 		return nil, err
 	}
 	if len(f.commit.Writes)+len(f.commit.Deletes) == 0 {
-		return nil, nil
+		return l.withoutWrites(now, f)
 	}
 	l.flights, l.sent = append(l.flights, f), now
 	return f, nil
 }
 
+// withoutWrites returns a commit for facts of jobs that are not kept any more: that the
+// tenure holds is all that they need.
+func (l *Ledger) withoutWrites(now time.Time, f *Flight) (*Flight, error) {
+	if len(f.facts) == 0 {
+		return nil, nil
+	}
+	if len(l.flights) > 0 {
+		l.retry(f)
+		return nil, nil
+	}
+	next := l.tenure
+	next.Seq++
+	turn, err := l.turnOver(now, renew, next)
+	if err == nil {
+		turn.facts = f.facts
+	}
+	return turn, err
+}
+
 // resend returns the commit of the tenure again if its result is not awaited.
 func (l *Ledger) resend() *Flight {
 	if l.turn.sending {
@@ -320,7 +339,7 @@
 		l.retry(old)
 	}
 	l.lost = nil
-	return nil
+	return f.facts
 }
 
 // lands removes a commit from those that are under way, and reports whether it was
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -198,6 +198,16 @@
 	}
 }
 
+func TestEndOfARunOfAForgottenJobIsAcknowledged(t *testing.T) {
+	d := newDesk(t)
+	d.hold()
+	d.l.End(ref("forgotten", 0), work.Done, ledger.Mark{Agent: "a1", Seq: 7})
+	d.commit()
+	if len(d.facts) != 1 || d.facts[0].Mark.Seq != 7 {
+		t.Errorf("facts %v", d.facts)
+	}
+}
+
 func TestCommitsSideBySideShareNoJob(t *testing.T) {
 	d := newDesk(t)
 	d.hold()
--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -116,6 +116,18 @@
 	d.wantStarts("b", 1)
 }
 
+func TestFailuresOfAnOccurrenceAreRestored(t *testing.T) {
+	d := tenuredDesk(t, "a")
+	j := job("j", 0, 1, 10*time.Millisecond)
+	j.Times, j.First, j.Every, j.Stored = 2, d.now.Add(-time.Second), time.Second, true
+	second := work.TaskRef{Job: "j", Occurrence: 1}
+	d.c.Restore(d.now, j, 0, [][]int{{0}, nil}, map[work.TaskRef]int{second: j.Queue.MaxAttempts - 1})
+	d.take()
+	d.wantStarts("a", 1)
+	d.confirm("a", 1, nil, schedule.Event{Run: d.starts["a"][0], End: work.Failed})
+	d.wantOutcome("j", work.JobFailed)
+}
+
 func TestTaskResumesFromItsCheckpoint(t *testing.T) {
 	d := tenuredDesk(t, "a")
 	j := job("j", 0, 1, time.Second)
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for t, n := range failures {
-		j.tasks[t.Step][t.Index].failures = n
+		j.tasks[j.Slot(t)][t.Index].failures = n
 	}
 	c.jobs[w.ID] = j
 	if w.Times > 0 {
--- a/site/site.go
+++ b/site/site.go
@@ -11,12 +11,15 @@
 // An agent (package worker) takes orders from homes and is the only process
 // that calls its worker.
 //
-// Nothing is stored. If a home is lost, the entries hand their jobs to the next
-// one after the time in which every run of the lost home has certainly ended;
-// if an entry is lost, its caller submits again, and by then its runs have
-// ended too. The times in this file make that hold.
+// Of jobs whose callers wait for the end nothing is stored. If a home is lost, the
+// entries hand their jobs to the next one after the time in which every run of the
+// lost home has certainly ended; if an entry is lost, its caller submits again, and
+// by then its runs have ended too. The times in this file make that hold.
 //
-// Decisions are made by the packages schedule, worker and roster. This package
+// Stored jobs are in the ledger (package ledger), which one home holds at a time. The
+// next one goes on with their runs.
+//
+// Decisions are made by the packages schedule, worker, roster and ledger. This package
 // moves their inputs and outputs: HTTP through package platform, net/rpc
 // through package wire.
 //
