--- a/schedule/core.go
+++ b/schedule/core.go
@@ -113,57 +113,6 @@
 
 func (c *Core) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
 
-// job is a job that has not been answered, or of which something still runs.
-type job struct {
-	work.Job
-	begun     time.Time // when the system got it
-	objective time.Time
-	cutoff    time.Time // after it an answer is of no use
-	tasks     [][]task  // by slot
-	left      []int     // by slot: tasks that are not done
-	pending   int       // tasks to place, of steps whose turn has come
-	running   int
-	leastCPU  int             // of any task, in thousandths of a core
-	sent      bool            // something of it was sent to an agent
-	withdrawn bool            // nobody waits for it
-	over      bool            // it has been answered
-	late      bool            // it can no longer be in time, and has to be done all the same
-	waits     bool            // it is in Core.waiting
-	avoid     map[string]bool // agents where a run failed or stalled
-	first     time.Time       // first placement
-	again     int             // runs that had to be repeated
-	last      lastRun         // the run that ended last
-}
-
-// lastRun tells what a job waited for in the end.
-type lastRun struct {
-	agent    string
-	wait     time.Duration // from the job's begin to the placement
-	took     time.Duration
-	expected time.Duration
-}
-
-type taskState int
-
-const (
-	blocked taskState = iota // its step's turn has not come
-	pending
-	placed
-	done
-)
-
-type task struct {
-	state    taskState
-	run      int    // number of the last run
-	saved    string // checkpoint to resume from; empty for none
-	failures int
-	agent    string
-	began    time.Time
-	expected time.Duration
-	slowdown float64 // of the worker when the task was placed
-	stopping bool
-}
-
 // Load returns the tasks and jobs at set times that wait, and the tasks that run.
 func (c *Core) Load() (waiting, running int) {
 	for _, t := range c.targets {
@@ -208,27 +157,6 @@
 	c.place(now)
 }
 
-// cutoff returns the time after which the end of a job is of no use to its
-// caller, if that waits.
-func (c *Core) cutoff(j *job) time.Time {
-	return j.begun.Add(time.Duration(float64(j.Queue.Objective(j.Chain())) * c.cfg.Late))
-}
-
-func newJob(now time.Time, w work.Job, firstRun int) *job {
-	j := &job{Job: w, begun: now.Add(-w.Age), tasks: make([][]task, w.Slots()), left: make([]int, w.Slots())}
-	j.objective = j.begun.Add(w.Queue.Objective(w.Chain()))
-	j.leastCPU = w.Steps[0].Room.CPU
-	for i := range j.tasks {
-		j.leastCPU = min(j.leastCPU, w.Step(i).Room.CPU)
-		j.tasks[i] = make([]task, w.Step(i).Count)
-		j.left[i] = w.Step(i).Count
-		for k := range j.tasks[i] {
-			j.tasks[i][k].run = firstRun
-		}
-	}
-	return j
-}
-
 // rejoin lets a caller wait again for a job that had been withdrawn.
 func (c *Core) rejoin(now time.Time, j *job) {
 	if !j.withdrawn {
@@ -239,37 +167,6 @@
 	c.place(now)
 }
 
-// unblock makes the tasks pending whose time has come and whose earlier steps are
-// done.
-func (c *Core) unblock(now time.Time, j *job) {
-	for i := range j.tasks {
-		if now.Before(j.Due(i)) {
-			break
-		}
-		if !j.turn(i) {
-			continue
-		}
-		for k := range j.tasks[i] {
-			if t := &j.tasks[i][k]; t.state == blocked {
-				t.state = pending
-				j.pending++
-				c.queued++
-			}
-		}
-	}
-}
-
-// turn reports whether all steps before that of slot i are done.
-func (j *job) turn(i int) bool {
-	first := i - i%len(j.Steps) // slot of the occurrence
-	for _, before := range j.Step(i).After {
-		if j.left[first+before] > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Withdraw takes back a job for which nobody waits any more. Runs that have
 // long to go are stopped.
 func (c *Core) Withdraw(now time.Time, id string) {
@@ -287,104 +184,6 @@
 // waits for it; a stop takes 50 ms of the worker's time by itself.
 const withdrawnRest = 60 * time.Millisecond
 
-// close answers a job.
-func (c *Core) close(j *job, out work.Outcome) {
-	if j.over {
-		return
-	}
-	j.over = true
-	c.dequeue(j)
-	c.noteEnd(j, out)
-	c.out.Outcomes = append(c.out.Outcomes, Ending{j.ID, out})
-	switch {
-	case j.Stored:
-		// The ledger remembers it.
-	case out.State == work.Completed, out.State == work.JobFailed:
-		c.remember(j.ID, out)
-	default:
-		c.rememberBegin(j)
-	}
-	c.discard(j)
-}
-
-// noteEnd tells how a job went, for the log.
-func (c *Core) noteEnd(j *job, out work.Outcome) {
-	if !j.sent {
-		return // a rejection has a note of its own
-	}
-	c.note(Note{Job: j.ID, Agent: j.last.agent, What: "jobEnded", Why: string(out.State) + " " + out.Reason, Values: map[string]float64{
-		"firstStartMs": ms(j.first.Sub(j.begun)), "objectiveMs": ms(j.objective.Sub(j.begun)), "tasks": float64(j.Tasks()),
-		"lastWaitMs": ms(j.last.wait), "lastRunMs": ms(j.last.took), "lastExpectedMs": ms(j.last.expected), "repeated": float64(j.again),
-	}})
-}
-
-// discard forgets a job that is answered once nothing of it runs.
-func (c *Core) discard(j *job) {
-	if j.over && j.running == 0 {
-		delete(c.jobs, j.ID)
-		c.queued -= j.pending
-		j.pending = 0
-	}
-}
-
-func (c *Core) remember(id string, out work.Outcome) {
-	if len(c.endings) >= c.cfg.Remember {
-		delete(c.ended, c.endings[0])
-		c.endings = c.endings[1:]
-	}
-	c.ended[id] = out
-	c.endings = append(c.endings, id)
-}
-
-// rememberBegin keeps in mind that something of a job may have run, so that it
-// is not said to have not run when its caller submits it again.
-func (c *Core) rememberBegin(j *job) {
-	if !j.sent || c.began[j.ID] {
-		return
-	}
-	if len(c.begins) >= c.cfg.Remember {
-		delete(c.began, c.begins[0])
-		c.begins = c.begins[1:]
-	}
-	c.began[j.ID] = true
-	c.begins = append(c.begins, j.ID)
-}
-
-// stopAll stops the runs of a job that are expected to have more than rest to go, or
-// all of them.
-func (c *Core) stopAll(now time.Time, j *job, rest time.Duration) {
-	for i := range j.tasks {
-		for k := range j.tasks[i] {
-			t := &j.tasks[i][k]
-			if t.state == placed && (rest == 0 || now.Add(rest).Before(t.began.Add(t.expected))) {
-				c.stop(j, i, k)
-			}
-		}
-	}
-}
-
-func (c *Core) stop(j *job, step, index int) {
-	t := &j.tasks[step][index]
-	if t.stopping {
-		return
-	}
-	t.stopping = true
-	c.order(t.agent, j.ref(step, index))
-}
-
-// order orders an agent to stop a run.
-func (c *Core) order(agent string, r work.Run) {
-	if c.out.Stops == nil {
-		c.out.Stops = make(map[string][]work.Run)
-	}
-	c.out.Stops[agent] = append(c.out.Stops[agent], r)
-}
-
-// ref returns the last run of a task.
-func (j *job) ref(step, index int) work.Run {
-	return work.Run{Task: j.Ref(step, index), Number: j.tasks[step][index].run}
-}
-
 // Tick is called every few milliseconds while jobs wait, and at least a few
 // times in Config.Suspect.
 func (c *Core) Tick(now time.Time) {
--- a/schedule/lasting_test.go
+++ b/schedule/lasting_test.go
@@ -8,19 +8,6 @@
 	"masticbay/work"
 )
 
-// tenuredDesk has one agent that obeys the home for stored jobs.
-func tenuredDesk(t *testing.T, agents ...string) *desk {
-	d := newDesk(t)
-	for _, a := range agents {
-		d.agent(a, 4)
-	}
-	d.hold(1)
-	for _, a := range agents {
-		d.confirm(a, 1, nil)
-	}
-	return d
-}
-
 // stay lets time go on while the agents confirm the tenure.
 func (d *desk) stay(span time.Duration) {
 	for end := d.now.Add(span); d.now.Before(end); {
@@ -40,7 +27,7 @@
 }
 
 func TestOccurrencesStartAtTheirTimes(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, 10*time.Millisecond)
 	j.Times, j.First, j.Every = 2, d.now.Add(time.Second), time.Second
 	d.restoreJob(j)
@@ -62,7 +49,7 @@
 }
 
 func TestOccurrencesKeepTheOrderOfTheirSteps(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, 10*time.Millisecond)
 	j.Steps = append(j.Steps, j.Steps[0])
 	j.Steps[1].After = []int{0}
@@ -77,7 +64,7 @@
 }
 
 func TestLastingTasksStartAgainHoweverTheyEnd(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, 0)
 	j.Lasts = true
 	d.restoreJob(j)
@@ -98,7 +85,7 @@
 }
 
 func TestLastingTasksLeaveADrainingWorker(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, 0)
 	j.Lasts = true
 	d.restoreJob(j)
@@ -117,7 +104,7 @@
 }
 
 func TestFailuresOfAnOccurrenceAreRestored(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, 10*time.Millisecond)
 	j.Times, j.First, j.Every, j.Stored = 2, d.now.Add(-time.Second), time.Second, true
 	second := work.TaskRef{Job: "j", Occurrence: 1}
@@ -129,7 +116,7 @@
 }
 
 func TestTaskResumesFromItsCheckpoint(t *testing.T) {
-	d := tenuredDesk(t, "a")
+	d := tenuredDesk(t, 4, "a")
 	j := job("j", 0, 1, time.Second)
 	j.Steps[0].Checkpoint = true
 	d.restoreJob(j)
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -42,11 +42,31 @@
 	return work.Run{Task: work.TaskRef{Job: id, Index: index}, Number: number}
 }
 
-func TestStoredJobWaitsForFormerAgents(t *testing.T) {
+// formerDesk has agents that may run tasks of a former home.
+func formerDesk(t *testing.T, agents ...string) *desk {
 	d := newDesk(t)
-	d.agent("a", 4)
-	d.agent("b", 4)
-	d.hold(2, "a", "b")
+	for _, a := range agents {
+		d.agent(a, 4)
+	}
+	d.hold(2, agents...)
+	return d
+}
+
+// tenuredDesk has agents with some room that obey the home for stored jobs.
+func tenuredDesk(t *testing.T, room int, agents ...string) *desk {
+	d := newDesk(t)
+	for _, a := range agents {
+		d.agent(a, room)
+	}
+	d.hold(1)
+	for _, a := range agents {
+		d.confirm(a, 1, nil)
+	}
+	return d
+}
+
+func TestStoredJobWaitsForFormerAgents(t *testing.T) {
+	d := formerDesk(t, "a", "b")
 	d.restore("j", 1)
 	d.confirm("a", 2, nil)
 	d.wantStarts("a", 0)
@@ -71,9 +91,7 @@
 }
 
 func TestRunsOfAFormerHomeAreAdopted(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(2, "a")
+	d := formerDesk(t, "a")
 	d.restore("j", 3, 0)
 	d.confirm("a", 2, []schedule.Kept{{Run: run("j", 1, 5)}}, schedule.Event{Run: run("j", 2, 5), End: work.Done})
 	d.wantStarts("a", 0)
@@ -82,9 +100,7 @@
 }
 
 func TestRunsOfUnknownJobsAreStopped(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(2, "a")
+	d := formerDesk(t, "a")
 	d.confirm("a", 2, []schedule.Kept{{Run: run("cancelled", 0, 5)}})
 	if len(d.stops["a"]) != 1 {
 		t.Errorf("stops %v", d.stops)
@@ -92,10 +108,7 @@
 }
 
 func TestEndIsAcknowledgedOnceSaved(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(1)
-	d.confirm("a", 1, nil)
+	d := tenuredDesk(t, 4, "a")
 	d.restore("j", 1)
 	d.confirm("a", 1, nil, schedule.Event{Run: d.starts["a"][0], End: work.Done})
 	if got := d.c.Acked("a"); got != 0 {
@@ -109,10 +122,7 @@
 
 // TestDeposedHomeLeavesEndsToTheNext: it must not acknowledge what it can not save.
 func TestDeposedHomeLeavesEndsToTheNext(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(1)
-	d.confirm("a", 1, nil)
+	d := tenuredDesk(t, 4, "a")
 	d.restore("j", 2)
 	d.confirm("a", 1, nil, schedule.Event{Run: d.starts["a"][0], End: work.Done})
 	d.hold(0)
@@ -127,10 +137,7 @@
 }
 
 func TestLateStoredJobsComeAfterThoseInTime(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 1)
-	d.hold(1)
-	d.confirm("a", 1, nil)
+	d := tenuredDesk(t, 1, "a")
 	d.restore("runs", 1)
 	d.restore("late", 1)
 	d.pass(2 * time.Second)
@@ -146,10 +153,7 @@
 }
 
 func TestCancelledJobIsStopped(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(1)
-	d.confirm("a", 1, nil)
+	d := tenuredDesk(t, 4, "a")
 	d.restore("j", 2)
 	d.c.Cancel(d.now, "j")
 	d.take()
@@ -161,10 +165,7 @@
 // TestEndsOfLaterStepsAreTakenBeforeThoseOfEarlierOnes: agents tell in any order what
 // a former home could not save.
 func TestEndsOfLaterStepsAreTakenBeforeThoseOfEarlierOnes(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.agent("b", 4)
-	d.hold(2, "a", "b")
+	d := formerDesk(t, "a", "b")
 	j := job("j", 0, 1, 100*time.Millisecond)
 	j.Steps = append(j.Steps, j.Steps[0])
 	j.Steps[1].After = []int{0}
@@ -181,9 +182,7 @@
 // TestReplyThatWasNotAskedForRunsConfirmsNothing: an exchange that began before the
 // agent heard of the tenure may end after it did.
 func TestReplyThatWasNotAskedForRunsConfirmsNothing(t *testing.T) {
-	d := newDesk(t)
-	d.agent("a", 4)
-	d.hold(2, "a")
+	d := formerDesk(t, "a")
 	d.restore("j", 1)
 	d.c.Report(d.now, "a", &schedule.Report{Life: "1", Target: d.agents["a"], Ready: true, Settled: true, Epoch: 2})
 	d.take()
--- a/site/home_stored.go
+++ b/site/home_stored.go
@@ -100,6 +100,11 @@
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, stateWait)
 	defer cancel()
+	return h.stateAfter(ctx, id, done)
+}
+
+// stateAfter waits for the end of a job and tells its state.
+func (h *home) stateAfter(ctx context.Context, id string, done chan struct{}) StateReply {
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -164,17 +169,10 @@
 	done := h.awaitEnd(id)
 	h.mu.Unlock()
 	h.wakeLedger()
-	rep = StateReply{Moved: true}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	case <-h.e.stop:
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.forgetWait(id, done)
-	if h.ledger.Pending(id) {
+	rep = h.stateAfter(ctx, id, done)
+	switch rep.State {
+	case work.Completed, work.JobFailed, work.Cancelled:
 		return rep
 	}
-	return h.stateNow(id)
+	return StateReply{Moved: true} // its end is not stored
 }
