Stop late runs of withdrawn jobs after their grace period

An entry whose connection to the home is reset gives its job up there and hands it to the next home 850 ms later. The previous home withdraws the job, but leaves runs alone that it expects to end within 60 ms, and with them all runs that are overdue already. Such a run went on to its end, 1.6 to 1.75 s after its start, while the next home had started run 1001.

Ruled out: stops carried out late (the worker lists them), clock steps (they come 1.5 s later), another holder of the lease.

Change: Tick stops the runs of a withdrawn job that outlast the grace period. Only withdrawals left a run without the worker's word.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -70,6 +70,7 @@
 	startupUntil   time.Time        // until then more workers are expected to make contact
 	lastKindUpdate time.Time        // when the mean slowness of each kind of worker was computed
 	timed          []*job           // have occurrences that are not due yet
+	withdrawn      []withdrawal     // by stopAt
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
 	decisions      Decisions
@@ -173,7 +174,8 @@
 }
 
 // Withdraw cancels a job whose caller is gone. It stops the runs that are expected
-// to go on for longer than withdrawnGrace.
+// to go on for longer than withdrawnGrace; Tick stops the others if they have not
+// ended by then.
 func (c *Core) Withdraw(now time.Time, id string) {
 	j, ok := c.jobs[id]
 	if !ok || j.withdrawn || j.answered {
@@ -182,6 +184,9 @@
 	j.withdrawn = true
 	c.close(j, work.Outcome{State: work.Cancelled, Reason: "nobody waits for it"})
 	c.stopAll(now, j, withdrawnGrace)
+	if j.running > 0 {
+		c.withdrawn = append(c.withdrawn, withdrawal{id, now.Add(withdrawnGrace)})
+	}
 	c.placeWaiting(now)
 }
 
@@ -189,6 +194,23 @@
 // end by itself; a stop takes 50 ms of the worker's time.
 const withdrawnGrace = 60 * time.Millisecond
 
+// withdrawal is a withdrawn job that had runs.
+type withdrawal struct {
+	job    string
+	stopAt time.Time // its runs are stopped then
+}
+
+// stopWithdrawn stops the runs of withdrawn jobs that have outlasted withdrawnGrace.
+// The caller's entry may have handed such a job to another home.
+func (c *Core) stopWithdrawn(now time.Time) {
+	for len(c.withdrawn) > 0 && !now.Before(c.withdrawn[0].stopAt) {
+		if j, ok := c.jobs[c.withdrawn[0].job]; ok && j.withdrawn {
+			c.stopAll(now, j, 0)
+		}
+		c.withdrawn = c.withdrawn[1:]
+	}
+}
+
 // Tick runs the decisions that depend on time. It is called every few milliseconds
 // while jobs wait, and at least a few times per Config.SuspectAfter.
 func (c *Core) Tick(now time.Time) {
@@ -197,6 +219,7 @@
 		c.updateKindSlowness()
 	}
 	c.expireAgents(now)
+	c.stopWithdrawn(now)
 	c.abandonOverdue(now)
 	c.expireSlowdowns(now)
 	c.unblockTimed(now)
