Divide large sites into cells with a home each

One entry places all tasks of a site: at 240 workers it needs most of its processor, and its loss stops every task for 0.85 s.

Change: from 80 agents on, the home of the site divides the agents into cells of about 40 (setting cellSize). The homes of the cells are the home of the site and the strongest entries that reach enough agents; agents are dealt to them by rendezvous hashing with bounded loads, equally by kind. A job has two candidate homes by its ID; the one with the shorter wait gets it, and a job that it rejects is handed to the other. A site that stores jobs is not divided, since one home holds the ledger. Homes publish their status without the lock of their decisions.

Two faults that the fleet tests with two cells showed, mended here: - A message that hands a job to a home may be held up in the network for seconds and was taken then, while another home ran the job (TWICE, answers of the home cut off). Such messages carry the home's last stamp now, which also dates the contact. - An entry greeted only addresses that it had been told, so it lost contact with a home of which it knew by greetings alone.

--- a/command/site.go
+++ b/command/site.go
@@ -97,7 +97,7 @@
 		return err
 	}
 	defer p.flush()
-	e, err := site.StartEntry(site.EntryOptions{Node: p.node, Log: p.log, Listen: p.cfg.Listen, RequestLines: p.cfg.RequestLines})
+	e, err := site.StartEntry(site.EntryOptions{Node: p.node, Log: p.log, Listen: p.cfg.Listen, RequestLines: p.cfg.RequestLines, CellSize: p.cfg.CellSize})
 	if err != nil {
 		return err
 	}
--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,6 +121,43 @@
 	}
 }
 
+// TestDividedFleetUnderFaults is TestFleetUnderFaults on a fleet whose agents are
+// divided into two cells, each with a home of its own.
+func TestDividedFleetUnderFaults(t *testing.T) {
+	for _, tc := range fleetFaults {
+		t.Run(tc.name, func(t *testing.T) {
+			runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
+				s.wantCells(2)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					time.Sleep(time.Second)
+					tc.inject(s)
+				}()
+				s.load(6*time.Second, 0, 1, 2)
+				<-done
+				s.wantCompleted(tc.minShare)
+				s.wantOneHome()
+				s.wantCells(2)
+			})
+		})
+	}
+}
+
+// wantCells checks that all entries agree on the homes of the cells.
+func (s *fleet) wantCells(n int) {
+	s.t.Helper()
+	homes := s.entry(0).CellHomes()
+	if len(homes) != n {
+		s.t.Errorf("%d homes of cells, want %d", len(homes), n)
+	}
+	for i := range fleetEntries {
+		if other := s.entry(i).CellHomes(); !slices.Equal(other, homes) {
+			s.t.Errorf("entry %d sees the homes %v, entry 0 %v", i, other, homes)
+		}
+	}
+}
+
 // TestLeavingEntryAnswersEveryCaller keeps sending requests to an entry that
 // stops, as the load balancer does when too few other entries of the data centre
 // are left. No request may lose its connection without an answer.
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -59,6 +59,7 @@
 	stop       context.CancelFunc
 	ctx        context.Context
 	goroutines sync.WaitGroup
+	cellSize   int // number of agents in a cell; the default if zero
 
 	mu            sync.Mutex // guards what follows
 	entries       [fleetEntries]*daemon.Entry
@@ -73,9 +74,12 @@
 
 // runWithFleet runs f in a bubble on a fleet whose members have found each other,
 // and then checks the invariants.
-func runWithFleet(t *testing.T, f func(t *testing.T, s *fleet)) {
+func runWithFleet(t *testing.T, f func(t *testing.T, s *fleet)) { runWithCells(t, 0, f) }
+
+// runWithCells is runWithFleet with cells of a given number of agents.
+func runWithCells(t *testing.T, cellSize int, f func(t *testing.T, s *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newFleet(t)
+		s := newFleet(t, cellSize)
 		time.Sleep(2 * time.Second)
 		f(t, s)
 		s.checkInvariants()
@@ -83,8 +87,8 @@
 	})
 }
 
-func newFleet(t *testing.T) *fleet {
-	s := &fleet{t: t, network: newNetwork(), store: standin.NewStore(store.NewMemory(clock.System{})), replies: make(map[string]standin.Reply), repliedAt: make(map[string]time.Time), mayHaveRun: make(map[string]bool)}
+func newFleet(t *testing.T, cellSize int) *fleet {
+	s := &fleet{t: t, cellSize: cellSize, network: newNetwork(), store: standin.NewStore(store.NewMemory(clock.System{})), replies: make(map[string]standin.Reply), repliedAt: make(map[string]time.Time), mayHaveRun: make(map[string]bool)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	if err := s.store.PutConfig(1, pingQueue, longQueue); err != nil {
 		t.Fatal(err)
@@ -155,7 +159,7 @@
 func (s *fleet) startEntry(i int) {
 	n := s.node(fmt.Sprint("e", i))
 	n.Front, n.Ready = fmt.Sprint("f", i), fmt.Sprint("r", i)
-	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.network, n.Name}}})
+	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.network, n.Name}}, CellSize: s.cellSize})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,6 +13,8 @@
 // may act as home for a while, for example on both sides of a network partition: agents
 // decide on the free capacity of their workers themselves and so can serve both.
 //
+// A large site is divided into cells, each with a home of its own; see Homes and Cell.
+//
 // A term counts homes and is not the epoch of the ledger's tenure. An entry is "young"
 // during its startup wait.
 //
@@ -48,6 +50,8 @@
 	Young   bool   // it is in its startup wait and cannot become home
 	Term    uint64 // under which it acts as home; 0 if it does not
 	Agents  int    // number of agents that it is in contact with
+	Cells   int    // into how many cells it divides the site, if it is home
+	Places  bool   // it acts as home of a cell
 }
 
 // Roster is one entry's view of the entries of a site. New makes one.
@@ -57,6 +61,7 @@
 	startedAt   time.Time
 	peers       map[string]*peer // by address
 	highestTerm uint64           // highest known term
+	cells       int              // as the last known home set it
 	view        view
 }
 
@@ -67,7 +72,8 @@
 	validUntil time.Time // until a member may be out of contact or this entry's startup wait ends
 	unchanged  bool      // no member has changed since computedAt
 	home       Member
-	hasHome    bool // there is a home
+	hasHome    bool     // there is a home
+	homes      []Member // of all cells
 	panel      []string
 }
 
@@ -81,7 +87,10 @@
 		return
 	}
 	home, ok := r.electHome(now)
-	r.view = view{computedAt: now, validUntil: r.contactsUnchangedUntil(now), unchanged: true, home: home, hasHome: ok, panel: r.findPanel(now)}
+	members := append(r.InContact(now), r.Self(now))
+	homes := r.findHomes(members, home, ok)
+	r.self.Places = slices.ContainsFunc(homes, func(m Member) bool { return m.Address == r.self.Address })
+	r.view = view{computedAt: now, validUntil: r.contactsUnchangedUntil(now), unchanged: true, home: home, hasHome: ok, homes: homes, panel: r.findPanel(members)}
 }
 
 // contactsUnchangedUntil returns until when the same members are in contact if no
@@ -127,6 +136,12 @@
 	r.self.Agents = n
 }
 
+// SetCells sets into how many cells this entry divides the site while it is home.
+func (r *Roster) SetCells(n int) {
+	r.view.unchanged = r.view.unchanged && n == r.self.Cells
+	r.self.Cells = n
+}
+
 // RecordContact records contact with an entry and its description.
 func (r *Roster) RecordContact(now time.Time, m Member) {
 	if m.Address == "" || m.Address == r.self.Address {
@@ -144,7 +159,7 @@
 func (r *Roster) MarkUnreachable(address string) {
 	if p, ok := r.peers[address]; ok {
 		p.lastContact = time.Time{}
-		p.Term = 0
+		p.Term, p.Places = 0, false
 		r.view.unchanged = false
 	}
 }
@@ -162,7 +177,7 @@
 }
 
 func (r *Roster) contactTimeout(p *peer) time.Duration {
-	if p.Term > 0 {
+	if p.Term > 0 || p.Places {
 		return r.cfg.HomeContactTimeout
 	}
 	return r.cfg.ContactTimeout
@@ -229,6 +244,13 @@
 	return a.Name < b.Name
 }
 
+// Homes returns the homes of all cells, that of the site first. On a site that is not
+// divided, it is the home of the site. The caller must not modify the result.
+func (r *Roster) Homes(now time.Time) []Member {
+	r.refreshView(now)
+	return r.view.homes
+}
+
 // Panel returns the addresses of the home and of the strongest entries in contact that
 // are not leaving, the strongest first. The caller must not modify the result.
 func (r *Roster) Panel(now time.Time) []string {
@@ -236,8 +258,7 @@
 	return r.view.panel
 }
 
-func (r *Roster) findPanel(now time.Time) []string {
-	members := append(r.InContact(now), r.Self(now))
+func (r *Roster) findPanel(members []Member) []string {
 	members = slices.DeleteFunc(members, func(m Member) bool { return m.Leaving && m.Term == 0 })
 	slices.SortFunc(members, func(a, b Member) int {
 		if stronger(&a, &b) {
@@ -245,9 +266,13 @@
 		}
 		return 1
 	})
+	size := r.cfg.PanelSize
+	if r.cells > 1 {
+		size = max(size, r.cells+spareCandidates)
+	}
 	var panel []string
 	for i := range members {
-		if i < r.cfg.PanelSize || members[i].Term > 0 {
+		if i < size || members[i].Term > 0 || members[i].Places {
 			panel = append(panel, members[i].Address)
 		}
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -126,6 +126,26 @@
 	return c.queued + len(c.timed), running
 }
 
+// Delay returns how long a new job of the lowest priority would wait.
+func (c *Core) Delay(now time.Time) time.Duration {
+	ahead, speed := 0.0, 0.0
+	for _, j := range c.waiting {
+		ahead += c.pendingWork(j)
+	}
+	if ahead == 0 {
+		return 0
+	}
+	for _, name := range c.agentNames {
+		if t := c.targets[name]; c.isUsable(now, t) {
+			speed += float64(t.Capacity.CPU) / t.slowness()
+		}
+	}
+	return time.Duration(min(ahead/max(speed, 1), ms(maxDelay)) * float64(time.Millisecond))
+}
+
+// maxDelay bounds the result of Delay.
+const maxDelay = time.Minute
+
 // Waiting returns, by queue, the number of waiting jobs that have had no task sent.
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -82,13 +82,14 @@
 	return open
 }
 
-// isUsable reports whether a worker is in contact, takes starts and is not draining.
+// isUsable reports whether a worker is in contact, takes starts, is not draining and
+// belongs to this home.
 func (c *Core) isUsable(now time.Time, t *target) bool {
 	contactTimeout := max(c.cfg.SuspectAfter, c.cfg.SuspectIdleAfter)
 	if len(t.runs) > 0 {
 		contactTimeout = c.cfg.SuspectAfter
 	}
-	return t.ready && !t.Draining && now.Sub(t.lastContact) <= contactTimeout
+	return t.ready && !t.excluded && !t.Draining && now.Sub(t.lastContact) <= contactTimeout
 }
 
 // maxFreeCPU returns the largest free CPU capacity of any worker. Under load
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// Exclude sets whether new tasks are kept away from an agent, which then belongs to
+// another home.
+func (c *Core) Exclude(agent string, excluded bool) {
+	if t, ok := c.targets[agent]; ok {
+		t.excluded = excluded
+	}
+}
+
 // LastReceived returns the sequence number of the last event received from an agent, and
 // the incarnation of the agent that sent it.
 func (c *Core) LastReceived(agent string) (life string, seq uint64) {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -15,6 +15,7 @@
 	life                string // incarnation of the agent
 	lastContact         time.Time
 	ready               bool      // the agent takes starts
+	excluded            bool      // it belongs to another home
 	used                work.Room // by runs that this home placed
 	usedByOthers        work.Room // by runs of other entries, as reported
 	runs                map[work.TaskRef]work.Run
--- a/setting/role.go
+++ b/setting/role.go
@@ -87,6 +87,7 @@
 	Listen       string  `toml:"listen" format:"address" doc:"listen address for masticbay's other processes, if address translation makes it differ from the announced one; empty for the announced address"`
 	LogLevel     string  `toml:"logLevel" default:"info" oneof:"debug info warn error" doc:"lowest level that is logged"`
 	RequestLines int     `toml:"requestLines" default:"400" min:"1" max:"100000" doc:"most log lines a second about single jobs and runs; a home writes one for each job"`
+	CellSize     int     `toml:"cellSize" default:"40" min:"4" max:"1000" doc:"number of workers for which one home places tasks; larger sites are divided into cells; the same on all entries"`
 	Traces       string  `toml:"traces" default:"" doc:"destination of traces: a file path or the http:// URL of an OTLP collector; empty to export none"`
 	TraceRatio   float64 `toml:"traceRatio" default:"0.01" min:"0" max:"1" doc:"share of jobs that are traced"`
 }
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -141,7 +141,7 @@
 func (a *Agent) announce(c *wire.Client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
-	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service}
+	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service, Kind: a.workerKind()}
 	rep, err := wire.Call[AnnounceArgs, AnnounceReply](ctx, c, entryAnnounce, &args)
 	if err != nil {
 		c.Reset()
@@ -154,6 +154,16 @@
 	return true
 }
 
+// workerKind returns the first label of the worker, which names its kind.
+func (a *Agent) workerKind() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t, _ := a.guard.Target(); len(t.Labels) > 0 {
+		return t.Labels[0]
+	}
+	return ""
+}
+
 // rpcOptions returns the limits of connections between the processes of a site. A
 // dial that takes far longer than the round trip between data centres has met a
 // network partition.
--- a/site/entry.go
+++ b/site/entry.go
@@ -30,6 +30,9 @@
 	// RequestLines bounds the log lines about single jobs and runs in each second;
 	// defaultRequestLines if zero.
 	RequestLines int
+	// CellSize is the number of agents for which one home places tasks;
+	// defaultCellSize if zero.
+	CellSize int
 	// Network carries the connections to and from other processes; TCP if nil.
 	Network wire.Network
 }
@@ -49,6 +52,7 @@
 	metricsServer  *http.Server
 	metrics        *entryMetrics
 	network        wire.Network
+	cellSize       int // agents
 	stop           chan struct{}
 	home           *home
 	knownEntries   entryList
@@ -60,13 +64,16 @@
 
 	mu       sync.Mutex // guards what follows
 	roster   *roster.Roster
-	peers    map[string]*peer     // by address
-	agents   map[string]time.Time // by address: last announcement
-	fetching map[string]bool      // by address: a configuration is being fetched from this entry
+	peers    map[string]*peer        // by address
+	agents   map[string]agentContact // by address
+	fetching map[string]bool         // by address: a configuration is being fetched from this entry
 	lastHome string
-	sessions map[string]uint64 // by address of a home; see RunArgs
-	jobsAt   map[string]int    // by address of a home: calls about jobs that are open there
-	waiting  map[string]int    // by queue: jobs that have not started, as the home last reported
+	// lastHomes are the homes of all cells at the last update, by their incarnations.
+	lastHomes []string
+	sessions  map[string]uint64    // by address of a home; see RunArgs
+	jobsAt    map[string]int       // by address of a home: calls about jobs that are open there
+	news      map[string]homeNews  // by address of a home
+	stamps    map[string]peerStamp // by address of an entry
 }
 
 // StartEntry starts an entry and its servers.
@@ -77,7 +84,7 @@
 	}
 	e = &Entry{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store, dialOf(o.Network)), network: wire.OrTCP(o.Network), metrics: newEntryMetrics(),
-		stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]time.Time), fetching: make(map[string]bool),
+		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), news: make(map[string]homeNews), stamps: make(map[string]peerStamp), fetching: make(map[string]bool),
 		sessions: make(map[string]uint64), jobsAt: make(map[string]int),
 	}
 	e.requestLog = rateLimited(e.log, o.RequestLines)
--- /dev/null
+++ b/site/entry_cells.go
@@ -0,0 +1,126 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"masticbay/roster"
+)
+
+// agentContact is what an entry knows about an agent from its announcements.
+type agentContact struct {
+	kind          string // service and kind of its worker
+	lastAnnounced time.Time
+}
+
+// homeNews is what the home of a cell reports in its greetings.
+type homeNews struct {
+	waiting    map[string]int // by queue: jobs that have not started
+	delay      time.Duration  // how long a new job would wait there
+	vacant     bool           // no job is stored on the site
+	receivedAt time.Time
+}
+
+// homes returns the homes of all cells that are in contact.
+func (e *Entry) homes() []roster.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.roster.Homes(e.now())
+}
+
+// CellHomes returns the addresses of the homes of all cells.
+func (e *Entry) CellHomes() []string {
+	var addresses []string
+	for _, m := range e.homes() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// placesTasks reports whether this entry is home of a cell.
+func (e *Entry) placesTasks() bool {
+	return slices.ContainsFunc(e.homes(), func(m roster.Member) bool { return m.Life == e.life })
+}
+
+// handOnDelay is how much shorter the wait at the second candidate must be for a job
+// to be handed there first. Reports of the wait are up to a greeting interval old.
+const handOnDelay = 30 * time.Millisecond
+
+// candidates returns the homes to which a job may be handed, in the order in which
+// they are tried.
+func (e *Entry) candidates(id string) []roster.Member {
+	homes := e.homes()
+	if len(homes) <= 1 {
+		return homes
+	}
+	c := roster.Candidates(homes, id)
+	if len(c) > 1 && e.delayAt(c[1])+handOnDelay < e.delayAt(c[0]) {
+		slices.Reverse(c)
+	}
+	return c
+}
+
+// delayAt returns how long a new job would wait at a home.
+func (e *Entry) delayAt(m roster.Member) time.Duration {
+	if m.Life == e.life {
+		return e.home.status.Load().delay
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.news[m.Address].delay
+}
+
+// awaitCandidates waits for homes of a job until homeWait is over or ctx ends.
+func (e *Entry) awaitCandidates(ctx context.Context, id string) []roster.Member {
+	until := e.now().Add(homeWait)
+	for {
+		if c := e.candidates(id); len(c) > 0 {
+			return c
+		}
+		if ctx.Err() != nil || e.now().After(until) {
+			return nil
+		}
+		sleep(ctx, homePollInterval)
+	}
+}
+
+// cellAgents returns the agents on which this entry places tasks while it is a home,
+// and the number of all agents.
+func (e *Entry) cellAgents() (cell []string, all int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	homes := e.roster.Homes(e.now())
+	if len(homes) <= 1 {
+		cell = make([]string, 0, len(e.agents))
+		for a := range e.agents {
+			cell = append(cell, a)
+		}
+		return cell, len(cell)
+	}
+	agents := make([]roster.Agent, 0, len(e.agents))
+	for a, c := range e.agents {
+		agents = append(agents, roster.Agent{Address: a, Kind: c.kind})
+	}
+	return roster.Cell(agents, homes, e.node.Internal), len(agents)
+}
+
+// updateCells sets into how many cells this entry would divide the site. A site that
+// stores jobs is not divided, since one home holds the ledger and places their tasks.
+// The caller holds mu.
+func (e *Entry) updateCells(storesJobs bool) {
+	n := 1
+	if !storesJobs {
+		n = roster.CellCount(len(e.agents), e.cellSize, len(e.roster.Homes(e.now())))
+	}
+	e.roster.SetCells(n)
+}
+
+// vacant reports whether the home of the site has said lately that no job is stored.
+func (e *Entry) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m, ok := e.roster.Home(e.now())
+	news := e.news[m.Address]
+	return ok && news.vacant && e.now().Sub(news.receivedAt) <= homeContactTimeout
+}
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -21,7 +21,7 @@
 	e := m.e
 	e.mu.Lock()
 	_, known := e.agents[args.Address]
-	e.agents[args.Address] = e.now()
+	e.agents[args.Address] = agentContact{args.Service + "/" + args.Kind, e.now()}
 	reply.Panel = e.roster.Panel(e.now())
 	e.mu.Unlock()
 	if !known {
@@ -54,14 +54,13 @@
 	e.mu.Lock()
 	now := e.now()
 	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
-	args.Sum = panelHash(args.Panel)
+	args.Sum, args.Stamp, args.Echo = panelHash(args.Panel), toStamp(now), e.stamps[to].stamp
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
-	home, _ := e.roster.Home(now)
 	e.mu.Unlock()
-	if home.Life == e.life {
-		args.Waiting = e.home.waitingByQueue()
+	if st := e.home.status.Load(); args.Member.Term > 0 || args.Member.Places {
+		args.Waiting, args.Delay, args.Vacant = st.waiting, st.delay, st.vacant
 	}
 	return args
 }
@@ -79,12 +78,17 @@
 func (e *Entry) takeGreeting(g *GreetReply) {
 	e.mu.Lock()
 	e.roster.RecordContact(e.now(), g.Member)
-	if home, ok := e.roster.Home(e.now()); ok && home.Life == g.Member.Life {
-		e.waiting = g.Waiting
+	if g.Member.Term > 0 || g.Member.Places {
+		e.news[g.Member.Address] = homeNews{g.Waiting, g.Delay, g.Vacant, e.now()}
+	} else {
+		delete(e.news, g.Member.Address)
+	}
+	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp {
+		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp}
 	}
 	e.mu.Unlock()
 	e.knownEntries.add(e.now(), g.Panel...)
-	e.home.recordContact(g.Member.Life, g.Session)
+	e.home.recordContact(g.Member.Life, g.Session, g.Echo)
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
@@ -125,15 +129,19 @@
 // greetingsDue returns the entries to greet now, the known entries that need no
 // regular greetings, and whether no home is known.
 func (e *Entry) greetingsDue(now time.Time, lastGreeted map[string]time.Time) (due, rest []string, noHome bool) {
-	home, ok := e.currentHome()
+	_, ok := e.currentHome()
 	e.mu.Lock()
 	panel := e.roster.Panel(now)
+	homes := make(map[string]bool)
+	for _, m := range e.roster.Homes(now) {
+		homes[m.Address] = true
+	}
 	e.mu.Unlock()
 	// The panel of other entries may include entries that this one does not know yet.
 	panel = append(slices.Clone(panel), e.knownEntries.namedSince(now.Add(-panelNamedFor))...)
-	for _, address := range e.knownEntries.all() {
+	for _, address := range union(e.knownEntries.all(), panel) {
 		onPanel := slices.Contains(panel, address)
-		often := e.hasJobsAt(address) || onPanel && !ok || address == home.Address && now.Sub(lastGreeted[address]) >= idleHomeGreetInterval-homeGreetInterval/2
+		often := e.hasJobsAt(address) || onPanel && !ok || homes[address] && now.Sub(lastGreeted[address]) >= idleHomeGreetInterval-homeGreetInterval/2
 		switch {
 		case address == e.node.Internal:
 		case often, onPanel && now.Sub(lastGreeted[address]) >= panelGreetInterval:
@@ -145,6 +153,17 @@
 	return due, rest, !ok
 }
 
+// union returns the addresses of both lists, each once.
+func union(a, b []string) []string {
+	all := slices.Clone(a)
+	for _, address := range b {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // leastRecentlyGreeted returns the address that was greeted longest ago, or panelSize
 // of them while no home is known.
 func leastRecentlyGreeted(addresses []string, lastGreeted map[string]time.Time, noHome bool) []string {
@@ -178,13 +197,19 @@
 	args.Panel = nil
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
 	if err != nil {
-		e.resetIfUnanswered(address)
+			e.resetIfUnanswered(address)
 		return // the roster detects entries that are out of contact
 	}
 	e.greetingAnswered(address)
 	e.takeGreeting(rep)
 }
 
+// peerStamp is the last stamp that an incarnation of another entry has sent.
+type peerStamp struct {
+	life  string
+	stamp time.Duration
+}
+
 // peer is the connection to another entry.
 type peer struct {
 	client       *wire.Client
@@ -232,18 +257,26 @@
 func (e *Entry) updateHome() {
 	e.mu.Lock()
 	now := e.now()
-	for a, lastAnnounced := range e.agents {
-		if now.Sub(lastAnnounced) > agentContactTimeout {
+	for a, c := range e.agents {
+		if now.Sub(c.lastAnnounced) > agentContactTimeout {
 			delete(e.agents, a)
 			e.log.Info().Str("agent", a).Msg("agent silent")
 		}
 	}
 	e.roster.SetAgents(len(e.agents))
+	e.updateCells(e.home.status.Load().storesJobs)
 	home, ok := e.roster.Home(now)
 	changed := home.Life != e.lastHome
 	previous := e.lastHome
 	e.lastHome = home.Life
+	homes := lives(e.roster.Homes(now))
+	homesChanged := !slices.Equal(homes, e.lastHomes)
+	e.lastHomes = homes
 	e.mu.Unlock()
+	if homesChanged {
+		e.log.Info().Strs("homes", homes).Bool("places", slices.Contains(homes, e.life)).Msg("homes of the cells changed")
+		e.home.notify()
+	}
 	if changed {
 		e.metrics.homeChanges.Inc(1)
 		e.log.Info().Str("home", home.Name).Str("life", home.Life).Str("before", previous).Uint64("term", home.Term).Bool("any", ok).Msg("home changed")
@@ -261,25 +294,27 @@
 	return slices.DeleteFunc(slices.Clone(e.roster.InContact(e.now())), func(m roster.Member) bool { return m.Life == e.life })
 }
 
-// waitingJobs returns how many jobs of a queue have not started.
-func (e *Entry) waitingJobs(queue string) int {
-	if e.IsHome() {
-		return e.home.waiting(queue)
+// lives returns the incarnations of entries.
+func lives(members []roster.Member) []string {
+	ls := make([]string, len(members))
+	for i := range members {
+		ls[i] = members[i].Life
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.waiting[queue]
+	return ls
 }
 
-// knownAgents returns the agents that announced themselves.
-func (e *Entry) knownAgents() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	agents := make([]string, 0, len(e.agents))
-	for a := range e.agents {
-		agents = append(agents, a)
+// waitingJobs returns how many jobs of a queue have not started at any home.
+func (e *Entry) waitingJobs(queue string) (n int) {
+	for _, m := range e.homes() {
+		if m.Life == e.life {
+			n += e.home.status.Load().waiting[queue]
+			continue
+		}
+		e.mu.Lock()
+		n += e.news[m.Address].waiting[queue]
+		e.mu.Unlock()
 	}
-	return agents
+	return n
 }
 
 // registerDuty writes this entry's address to the store once, for processes that are
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -12,44 +12,76 @@
 	"masticbay/work"
 )
 
-// run hands a job to the home and returns its outcome. If the home is lost, run hands
-// the job to the next one, once no run under the lost home can be left.
+// run hands a job to a home and returns its outcome. A job that one home rejects is
+// handed on to the next candidate. If a home is lost with the job, run hands it to
+// another one, once no run under the lost home can be left.
 func (e *Entry) run(ctx context.Context, j work.Job, receivedAt time.Time) work.Outcome {
 	firstRun := 0
 	sent := false
 	for {
-		home, ok := e.awaitHome(ctx)
-		if !ok {
+		candidates := e.awaitCandidates(ctx, j.ID)
+		if len(candidates) == 0 {
 			return noHomeOutcome(sent)
 		}
-		now := e.now()
-		j.Age = now.Sub(receivedAt)
-		args := RunArgs{Entry: e.life, Job: j, FirstRun: firstRun}
-		args.Job.Left = j.Left - j.Age
-		out, moved, err := e.runAt(ctx, home, &args)
-		switch {
-		case err == nil && !moved:
+		out, home, result := e.runAtAny(ctx, candidates, j, firstRun, receivedAt)
+		switch result {
+		case homeAnswered:
 			return truthful(out, sent)
-		case moved:
+		case homeUnreached:
 			sleep(ctx, homePollInterval)
 			continue
-		case ctx.Err() != nil:
+		case callerGone:
 			return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}
-		case errors.Is(err, wire.ErrNotSent):
-			e.requestLog.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
-			e.homeLost(home)
-			sleep(ctx, homePollInterval)
-			continue
 		}
 		sent = true
 		e.metrics.jobsHomeLost.Inc(1)
-		e.requestLog.Warn().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
+		e.requestLog.Warn().Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
 		e.homeLost(home)
 		firstRun += runNumberStride
 		sleep(ctx, failoverDelay)
 	}
 }
 
+// runResult tells how handing a job to homes went.
+type runResult int
+
+const (
+	homeAnswered  runResult = iota
+	homeUnreached           // no home has taken the job
+	homeLost                // the job may have run at the home
+	callerGone
+)
+
+// runAtAny hands a job to the candidates in turn until one of them does not reject it.
+// It returns the outcome and the last home that was tried.
+func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt time.Time) (out work.Outcome, home roster.Member, result runResult) {
+	result = homeUnreached
+	for _, home = range candidates {
+		j.Age = e.now().Sub(receivedAt)
+		args := RunArgs{Entry: e.life, Job: j, FirstRun: firstRun}
+		args.Job.Left = j.Left - j.Age
+		answer, moved, err := e.runAt(ctx, home, &args)
+		switch {
+		case err == nil && moved:
+			continue
+		case err == nil:
+			out, result = answer, homeAnswered
+			if out.State != work.Rejected {
+				return out, home, result
+			}
+		case ctx.Err() != nil:
+			return out, home, callerGone
+		case errors.Is(err, wire.ErrNotSent):
+			e.requestLog.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
+			e.homeLost(home)
+		default:
+			e.requestLog.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home does not answer")
+			return out, home, homeLost
+		}
+	}
+	return out, home, result
+}
+
 // truthful replaces a rejection by an unknown outcome if the job was handed to another
 // home before, since that home may have run some of its tasks.
 func truthful(out work.Outcome, sent bool) work.Outcome {
@@ -111,7 +143,11 @@
 		out, moved = e.home.run(ctx, args)
 		return out, moved, nil
 	}
-	args.Session = e.addJobAt(m.Address)
+	args.Session, args.Echo = e.addJobAt(m.Address), e.stampOf(m)
+	if args.Echo == 0 {
+		e.removeJobAt(m.Address)
+		return out, true, nil // its first greeting has not been answered
+	}
 	defer e.removeJobAt(m.Address)
 	watched, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -137,6 +173,16 @@
 	return e.sessions[address]
 }
 
+// stampOf returns the last stamp that another entry has sent; 0 if there is none.
+func (e *Entry) stampOf(m roster.Member) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.stamps[m.Address]; s.life == m.Life {
+		return s.stamp
+	}
+	return 0
+}
+
 func (e *Entry) removeJobAt(address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/site/home.go
+++ b/site/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,11 +21,13 @@
 	e      *Entry
 	log    zerolog.Logger // lines about single jobs and runs; rate-limited
 	wakeup chan struct{}
+	status atomic.Pointer[homeStatus] // as of the last run of duty
 
 	mu             sync.Mutex // guards what follows
 	closed         bool
 	lastLinkUpdate time.Time // when updateLinks last ran
-	wasHome        bool      // this entry was home at lastLinkUpdate
+	wasHome        bool      // this entry was home of a cell at lastLinkUpdate
+	siteAgents     int       // number of all agents of the site at lastLinkUpdate
 	core           *schedule.Core
 	waiters        map[string][]*waiter    // by job
 	links          map[string]*link        // by agent
@@ -53,8 +56,17 @@
 	endWaiters     map[string][]chan struct{}    // by job: callers that wait for its end to be stored
 }
 
+// homeStatus is what a home reports to other entries. It is not changed once it is
+// published, so that greetings need not wait for the home's decisions.
+type homeStatus struct {
+	waiting    map[string]int // by queue: jobs that have not started
+	delay      time.Duration  // how long a new job would wait
+	vacant     bool           // no job is stored on the site
+	storesJobs bool           // jobs are stored on the site, or are to be stored
+}
+
 // entryContact is the newest session of an entry that submits jobs to this home,
-// and when the entry was last in contact.
+// and the latest time at which the entry is known to have been in contact.
 type entryContact struct {
 	session     uint64
 	lastContact time.Time
@@ -73,7 +85,7 @@
 }
 
 func newHome(e *Entry) *home {
-	return &home{
+	h := &home{
 		e: e, log: e.requestLog, wakeup: make(chan struct{}, 1), core: schedule.NewCore(HomeConfig(e.node)),
 		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]entryContact),
 		storedJobs: storedJobs{
@@ -81,6 +93,8 @@
 			acceptWaiters: make(map[string][]chan AcceptReply), endWaiters: make(map[string][]chan struct{}),
 		},
 	}
+	h.status.Store(&homeStatus{})
+	return h
 }
 
 // notify makes duty run at once.
@@ -93,25 +107,38 @@
 
 // recordContact records a message of another entry. A new session ends the entry's
 // earlier ones.
-func (h *home) recordContact(life string, session uint64) {
+func (h *home) recordContact(life string, session uint64, echo time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.recordContactLocked(entrySession{life, session})
+	h.recordContactLocked(entrySession{life, session}, echo)
 	h.deliverDecisions()
 }
 
 // recordContactLocked is recordContact with mu held and without delivering
-// decisions. It reports whether the session is the newest of the entry.
-func (h *home) recordContactLocked(c entrySession) bool {
+// decisions. It reports whether the session is the newest of the entry and in contact.
+//
+// A message may be late by seconds, and its entry may have handed its jobs to another
+// home meanwhile. So the time of the contact is that of the echo: the entry was in
+// contact when this home issued the stamp, but maybe not later. An echo of 0 counts as
+// the present; only the first greetings of an entry have none.
+func (h *home) recordContactLocked(c entrySession, echo time.Duration) bool {
 	previous := h.entries[c.life]
 	if c.session < previous.session {
 		return false
 	}
-	h.entries[c.life] = entryContact{c.session, h.e.now()}
+	now := h.e.now()
+	contact := now
+	if echoed := fromStamp(echo); echo > 0 && c.life != h.e.life && echoed.Before(now) {
+		contact = echoed
+	}
+	if contact.Before(previous.lastContact) {
+		contact = previous.lastContact
+	}
+	h.entries[c.life] = entryContact{c.session, contact}
 	if c.session > previous.session {
 		h.withdrawSessions("its entry gave it up", func(o entrySession) bool { return o.life == c.life && o.session < c.session })
 	}
-	return true
+	return now.Sub(contact) <= withdrawJobsAfter
 }
 
 // busy reports whether this home still runs tasks, has waiters, or has changes to
@@ -123,28 +150,15 @@
 	return running > 0 || len(h.waiters) > 0 || h.ledger.Held() && h.ledger.HasChanges()
 }
 
-func (h *home) waiting(queue string) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.core.Waiting()[queue]
-}
-
-// waitingByQueue returns by queue how many jobs have not started.
-func (h *home) waitingByQueue() map[string]int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.core.Waiting()
-}
-
-// run runs a job and waits for its outcome. If this entry is not home, run does
-// nothing and returns moved.
+// run runs a job and waits for its outcome. If this entry is not home of a cell, run
+// does nothing and returns moved.
 func (h *home) run(ctx context.Context, args *RunArgs) (out work.Outcome, moved bool) {
-	if m, ok := h.e.currentHome(); !ok || m.Life != h.e.life {
+	if !h.e.placesTasks() {
 		return out, true
 	}
 	w := &waiter{entry: entrySession{args.Entry, args.Session}, done: make(chan work.Outcome, 1)}
 	h.mu.Lock()
-	if !h.recordContactLocked(w.entry) {
+	if !h.recordContactLocked(w.entry, args.Echo) {
 		h.mu.Unlock()
 		return out, true
 	}
@@ -219,8 +233,7 @@
 
 // runOnce does one round of duty and reports whether tasks wait or run.
 func (h *home) runOnce() bool {
-	m, ok := h.e.currentHome()
-	isHome := ok && m.Life == h.e.life
+	isHome := h.e.placesTasks()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
@@ -237,31 +250,50 @@
 		h.lastLinkUpdate, h.wasHome = now, isHome
 		h.updateLinks(now, isHome, running)
 	}
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs()})
 	return waiting > 0 || running > 0
 }
 
+// storesJobs reports whether jobs are stored on the site, or are to be stored. The
+// caller holds mu.
+func (h *home) storesJobs() bool {
+	return h.storeRequested || h.ledger.HolderKnown() && !h.ledger.Vacant()
+}
+
 // linkUpdateInterval is how often a home checks for agents that have joined or left.
 const linkUpdateInterval = 50 * time.Millisecond
 
-// updateLinks opens a link to each known agent while this entry is home or runs
-// tasks, and closes the links that are no longer needed. The caller holds mu.
+// updateLinks opens a link to each agent of its cell while this entry is home, and
+// closes the links that are no longer needed. An entry that is no longer home keeps its
+// links until its last task has ended. The caller holds mu.
 func (h *home) updateLinks(now time.Time, isHome bool, running int) {
-	agents := h.e.knownAgents()
-	if isHome || running > 0 {
-		h.updateEnrollment(now, agents)
-		agents = append(agents, h.unconfirmedAgents(now)...)
-		for _, a := range agents {
-			if _, ok := h.links[a]; !ok {
-				h.links[a] = newLink(h, a)
-			}
+	cell, all := h.e.cellAgents()
+	h.siteAgents = all
+	if !isHome {
+		if running == 0 {
+			h.closeLinks(func(string) bool { return true })
 		}
+		return
 	}
-	known := make(map[string]bool, len(agents))
-	for _, a := range agents {
-		known[a] = true
+	h.updateEnrollment(now, cell)
+	cell = append(cell, h.unconfirmedAgents(now)...)
+	inCell := make(map[string]bool, len(cell))
+	for _, a := range cell {
+		inCell[a] = true
+		if _, ok := h.links[a]; !ok {
+			h.links[a] = newLink(h, a)
+		}
 	}
+	for a := range h.links {
+		h.core.Exclude(a, !inCell[a])
+	}
+	h.closeLinks(func(a string) bool { return !inCell[a] && !h.core.HasRuns(a) })
+}
+
+// closeLinks closes the links to the agents that match. The caller holds mu.
+func (h *home) closeLinks(match func(agent string) bool) {
 	for a, l := range h.links {
-		if !isHome && running == 0 || !known[a] && !h.core.HasRuns(a) {
+		if match(a) {
 			l.close()
 			delete(h.links, a)
 		}
@@ -276,10 +308,7 @@
 	for id := range h.waiters {
 		h.removeWaitersLocked(id, func(*waiter) bool { return true })
 	}
-	for a, l := range h.links {
-		l.close()
-		delete(h.links, a)
-	}
+	h.closeLinks(func(string) bool { return true })
 }
 
 // dropOutOfContact withdraws the jobs of entries that are out of contact, since
--- a/site/home_stored.go
+++ b/site/home_stored.go
@@ -40,6 +40,7 @@
 	if !h.isHome() || !h.ledger.EndedLoaded() {
 		h.storeRequested = true
 		h.mu.Unlock()
+		h.notify()
 		h.notifyLedger()
 		return AcceptReply{Moved: true}
 	}
--- a/site/link.go
+++ b/site/link.go
@@ -73,7 +73,7 @@
 func (l *link) syncWaitTime() time.Duration {
 	l.h.mu.Lock()
 	defer l.h.mu.Unlock()
-	wait := max(syncWait, time.Duration(len(l.h.links))*syncWaitPerLink)
+	wait := max(syncWait, time.Duration(l.h.siteAgents)*syncWaitPerAgent)
 	switch {
 	case l.echo == 0:
 		return 0
@@ -136,7 +136,7 @@
 // ledgerTenure returns the tenure that is sent to the agent. The caller holds home.mu.
 func (l *link) ledgerTenure() (t tenureArgs) {
 	h := l.h
-	t.Vacant = h.ledger.Vacant()
+	t.Vacant = h.ledger.Vacant() || h.e.vacant()
 	if l.echo == 0 || !h.ledger.Held() {
 		return t // the core does not know the jobs of the runs that the agent would list
 	}
--- a/site/messages.go
+++ b/site/messages.go
@@ -65,6 +65,7 @@
 type AnnounceArgs struct {
 	Address string
 	Service string
+	Kind    string // of the worker; empty until the worker has described itself
 }
 
 // AnnounceReply lists the entries to which the agent has to announce itself.
@@ -82,6 +83,10 @@
 	Sum     uint64
 	Config  uint64         // version of the configuration that the sender has in force
 	Waiting map[string]int // by queue: jobs that have not started, if the sender is home
+	Delay   time.Duration  // how long a new job would wait, if the sender is home
+	Vacant  bool           // no job is stored on the site, if the sender is home
+	Stamp   time.Duration  // the sender's time
+	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
 }
 
 // GreetReply is the receiver's own greeting.
@@ -92,13 +97,14 @@
 	Entry    string // incarnation of the sender
 	Session  uint64 // rises when the sender gives up its jobs at the receiver
 	Job      work.Job
-	FirstRun int // runs of each task are numbered from FirstRun+1
+	FirstRun int           // runs of each task are numbered from FirstRun+1
+	Echo     time.Duration // the home's last stamp that the sender has
 }
 
 // RunReply is sent when the job has ended.
 type RunReply struct {
 	Outcome work.Outcome
-	Moved   bool // the receiver is not home and did nothing
+	Moved   bool // the receiver is not home of a cell, or the message was late; it did nothing
 }
 
 // WithdrawArgs withdraws a job, since no caller waits for it.
--- a/site/site.go
+++ b/site/site.go
@@ -65,7 +65,7 @@
 	stopRunsAfter           = 450 * time.Millisecond                 // an agent stops the runs of a home that is out of contact for this long
 	orderMaxAge             = 400 * time.Millisecond                 // greatest age of the echo of an order that an agent takes
 	syncWait                = 100 * time.Millisecond                 // a sync waits this long for events, so that an agent is in contact with its home four times in stopRunsAfter
-	syncWaitPerLink         = time.Millisecond                       // of the wait of a sync, for each link of the home
+	syncWaitPerAgent        = time.Millisecond                       // of the wait of a sync, for each agent of the site
 	greetIntervalPerEntry   = 2500 * time.Microsecond                // of the interval between greetings of a home, for each known entry
 	maxSyncWait             = 200 * time.Millisecond                 // for agents with tasks; suspectAfter less the time of a message that is sent again
 	maxIdleSyncWait         = 400 * time.Millisecond                 // for agents without tasks
@@ -114,6 +114,10 @@
 	stateFallbackAfter   = 400 * time.Millisecond                              // the store is asked if the holder has not answered for this long
 )
 
+// defaultCellSize is the number of agents in a cell: so many that the load of a cell
+// varies little, and few enough that its home spends a small part of a core.
+const defaultCellSize = 40
+
 // defaultRequestLines is the most log lines about single jobs and runs that a process
 // writes in a second, unless the settings say otherwise. A home writes one for each
 // job, up to 155 a second on standard days of the small sites; on larger sites some
