--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -197,7 +197,7 @@
 	args.Panel = nil
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
 	if err != nil {
-			e.resetIfUnanswered(address)
+		e.resetIfUnanswered(address)
 		return // the roster detects entries that are out of contact
 	}
 	e.greetingAnswered(address)
