Replay load patterns against several homes

Change: a pattern may name several homes; its workers are divided among them as on a site, jobs go to their two candidates, and an event ends a home. large.toml has 240 workers, six homes, the mix of the large site, a burst and the loss of a home.

--- a/bench/pattern.go
+++ b/bench/pattern.go
@@ -12,12 +12,13 @@
 )
 
 // Pattern is a load on the workers of a service, with events that change it. It
-// is replayed against the decisions of one home and its agents.
+// is replayed against the decisions of the homes and agents of a site.
 type Pattern struct {
 	Name        string          `toml:"name"`
 	Expectation string          `toml:"answers"` // how the home is expected to react
 	Seconds     float64         `toml:"seconds"` // how long jobs arrive
 	Seed        uint64          `toml:"seed"`
+	Homes       int             `toml:"homes"` // number of cells; 1 if zero
 	Workers     []PatternWorker `toml:"workers"`
 	Queues      []PatternQueue  `toml:"queues"`
 	Events      []PatternEvent  `toml:"events"`
@@ -64,6 +65,8 @@
 	EventStall = "stall" // runs on workers make no progress
 	EventCrash = "crash" // workers crash, and restart when the event ends
 	EventDrain = "drain" // workers are draining
+	// EventHomeLoss is the loss of a home, which another entry replaces.
+	EventHomeLoss = "homeLoss"
 )
 
 // PatternEvent is an event that lasts for a time.
@@ -74,9 +77,10 @@
 	Factor   float64 `toml:"times"`   // of EventBurst and EventSlow
 	Queue    string  `toml:"queue"`   // of EventBurst; all if empty
 	Workers  []int   `toml:"workers"` // indexes of the workers that it affects, from 0
+	Home     int     `toml:"home"`    // of EventHomeLoss: index of the home, from 0
 }
 
-var eventKinds = []string{EventBurst, EventSlow, EventFail, EventStall, EventCrash, EventDrain}
+var eventKinds = []string{EventBurst, EventSlow, EventFail, EventStall, EventCrash, EventDrain, EventHomeLoss}
 
 //go:embed patterns/*.toml
 var patternFiles embed.FS
@@ -127,6 +131,9 @@
 		if !slices.Contains(eventKinds, e.Kind) {
 			return errors.NotValidf("event of kind %q", e.Kind)
 		}
+		if e.Home < 0 || e.Home >= max(p.Homes, 1) {
+			return errors.NotValidf("event %s of home %d", e.Kind, e.Home)
+		}
 		for _, w := range e.Workers {
 			if w < 0 || w >= p.workers() {
 				return errors.NotValidf("event %s of worker %d", e.Kind, w)
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -13,14 +13,15 @@
 	"masticbay/worker"
 )
 
-// replay is the run of a Pattern: one home, one agent per worker with the limits
-// of the product, messages that take messageDelay, and simulated workers. The result
-// depends on the pattern alone: time is virtual, and random draws come from its seed.
+// replay is the run of a Pattern: the homes of all cells, one agent per worker with the
+// limits of the product, messages that take messageDelay, and simulated workers. The
+// result depends on the pattern alone: time is virtual, and random draws come from its
+// seed.
 type replay struct {
 	pattern           *Pattern
 	clock             clock
 	rng               *rand.Rand
-	core              *schedule.Core
+	homes             []*modelHome
 	guardConfig       worker.Config
 	workers           []*modelWorker
 	byAgent           map[string]*modelWorker
@@ -40,13 +41,15 @@
 	taskTimes   []time.Duration // run times at slowness 1, by task
 	outcome     work.State      // empty until the job is answered
 	answeredAt  time.Duration
+	job         work.Job   // as submitted
+	home        *modelHome // that has the job
+	handedOn    bool       // its first home has rejected it
+	firstRun    int
 }
 
 // replayStartTime is the start of virtual time.
 var replayStartTime = time.Unix(1_000_000, 0)
 
-const homeName = "home"
-
 // tailDuration is how long a replay continues after the last arrival: the longest
 // time that any caller waits.
 const tailDuration = 8 * time.Second
@@ -57,7 +60,7 @@
 func newReplay(p *Pattern) *replay {
 	node := &platform.Node{MaxWorkerLease: time.Second, RemoteFactor: 1.5}
 	return &replay{
-		pattern: p, rng: rand.New(rand.NewPCG(p.Seed, 0)), core: schedule.NewCore(site.HomeConfig(node)), guardConfig: site.GuardConfig(node),
+		pattern: p, rng: rand.New(rand.NewPCG(p.Seed, 0)), homes: newModelHomes(p, node), guardConfig: site.GuardConfig(node),
 		byAgent: make(map[string]*modelWorker), jobs: make(map[string]*modelJob), burstFactors: make(map[string]float64),
 		clock: clock{endAt: seconds(p.Seconds) + tailDuration},
 	}
@@ -73,6 +76,10 @@
 			r.byAgent[m.agent] = m
 		}
 	}
+	r.divide()
+	for _, w := range r.workers {
+		w.begin()
+	}
 	for i := range r.pattern.Queues {
 		r.scheduleArrival(&r.pattern.Queues[i])
 	}
@@ -122,21 +129,19 @@
 		ID: id, Queue: jobQueue, Left: millis(q.DeadlineMs),
 		Steps: []work.Step{{Count: n, Room: work.Room{CPU: int(r.drawLogNormal(q.CPU, cpuSpread))}, Estimate: millis(r.drawLogNormal(meanTime, estimateSpread))}},
 	}
-	r.clock.after(messageDelay, func() {
-		r.core.Submit(r.now(), j, 0)
-		r.performDecisions()
-	})
+	m.job = j
+	r.handOver(m)
 }
 
 // taskTime returns the run time of a task at slowness 1.
 func (r *replay) taskTime(t work.TaskRef) time.Duration { return r.jobs[t.Job].taskTimes[t.Index] }
 
-// performDecisions records the outcomes of jobs that the home has decided, and sends
-// its orders to the agents.
-func (r *replay) performDecisions() {
-	decisions := r.core.Take()
+// performDecisions records the outcomes of jobs that a home has decided, and sends its
+// orders to the agents.
+func (r *replay) performDecisions(h *modelHome) {
+	decisions := h.core.Take()
 	for _, e := range decisions.Outcomes {
-		if m := r.jobs[e.Job]; m.outcome == "" {
+		if m := r.jobs[e.Job]; m.outcome == "" && m.home == h && !r.handOn(m, e.Outcome.State) {
 			m.outcome, m.answeredAt = e.Outcome.State, r.clock.elapsed+messageDelay
 		}
 	}
@@ -147,35 +152,46 @@
 		}
 		echo := r.now()
 		r.clock.after(messageDelay, func() {
-			w.guard.Order(r.now(), homeName, echo, starts, stops)
+			w.guard.Order(r.now(), h.name, echo, starts, stops)
 			w.performOrders()
 			r.sendReport(w)
 		})
 	}
 }
 
-// sendReport sends the report of an agent to the home.
+// sendReport sends the report of an agent to the home of its cell.
 func (r *replay) sendReport(w *modelWorker) {
-	w.guard.RecordContact(homeName, r.now())
-	incarnation, acked := r.core.LastReceived(w.agent)
+	h := w.home
+	if h.down {
+		return
+	}
+	w.guard.RecordContact(h.name, r.now())
+	incarnation, acked := h.core.LastReceived(w.agent)
 	if incarnation == "" {
 		acked = 0
 	}
-	report := schedule.ReportOf(w.guard, homeName, acked)
+	report := schedule.ReportOf(w.guard, h.name, acked)
 	report.Life = "1"
 	if r.withholdsSlowness {
 		report.Slow = nil
 	}
+	core := h.core
 	r.clock.after(messageDelay, func() {
-		r.core.Report(r.now(), w.agent, &report)
-		r.performDecisions()
+		if h.core == core && !h.down {
+			h.core.Report(r.now(), w.agent, &report)
+			r.performDecisions(h)
+		}
 	})
 }
 
-// tick runs the timers of the home at an interval.
+// tick runs the timers of the homes at an interval.
 func (r *replay) tick() {
-	r.core.Tick(r.now())
-	r.performDecisions()
+	for _, h := range r.homes {
+		if !h.down {
+			h.core.Tick(r.now())
+			r.performDecisions(h)
+		}
+	}
 	r.clock.after(homeTickInterval, r.tick)
 }
 
@@ -194,6 +210,12 @@
 		}
 		return
 	}
+	if e.Kind == EventHomeLoss {
+		if active {
+			r.loseHome(r.homes[e.Home])
+		}
+		return
+	}
 	for _, i := range e.Workers {
 		r.workers[i].applyEvent(e, active)
 	}
--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -84,3 +84,31 @@
 
 // reseed replaces the seed of the pattern.
 func (r *replay) reseed(seed uint64) { r.rng = rand.New(rand.NewPCG(seed, 1)) }
+
+// TestLossOfAHomeDelaysItsCellOnly compares the loss of one home of six with that of
+// the only home of a site of 240 workers.
+func TestLossOfAHomeDelaysItsCellOnly(t *testing.T) {
+	notInTime := func(homes int, loss bool) (n int) {
+		res := replayPattern(t, "large.toml", func(r *replay) {
+			r.pattern.Homes = homes
+			r.homes = newModelHomes(r.pattern, r.homes[0].node)
+			for i := range r.pattern.Events {
+				if e := &r.pattern.Events[i]; e.Kind == EventHomeLoss {
+					e.Home = 0
+					if !loss {
+						e.At = r.pattern.Seconds + tailDuration.Seconds() + 1
+					}
+				}
+			}
+		})
+		for _, q := range res.Queues {
+			n += q.Late + q.Missed + q.Rejected
+		}
+		return n
+	}
+	divided, whole := notInTime(6, true)-notInTime(6, false), notInTime(1, true)-notInTime(1, false)
+	t.Logf("%d more jobs not in time after the loss of one home of six, %d after that of the only one", divided, whole)
+	if 4*divided > whole {
+		t.Errorf("%d more jobs not in time after the loss of one home of six, want at most a quarter of %d", divided, whole)
+	}
+}
--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -14,6 +14,7 @@
 	replay        *replay
 	target        work.Target
 	agent         string
+	home          *modelHome // of its cell
 	guard         *worker.Guard
 	baseSlowness  float64
 	slowFactor    float64 // Factor of EventSlow, else 1
@@ -24,7 +25,8 @@
 	ended         []worker.Ended
 	lastEndNumber uint64 // sequence number of the last end
 	startedAt     time.Duration
-	incarnation   int // counts crashes, so that events of an earlier incarnation have no effect
+	incarnation   int           // counts crashes, so that events of an earlier incarnation have no effect
+	pollOffset    time.Duration // spreads the polls of the workers evenly over the interval
 }
 
 // modelRun is a run on a modelWorker.
@@ -198,8 +200,12 @@
 		replay: r, agent: name, guard: worker.NewGuard(r.guardConfig), baseSlowness: p.Slowness, slowFactor: 1, runs: make(map[work.TaskRef]*modelRun),
 		target: work.Target{ID: name, Born: 1, Service: patternService, Labels: p.Labels, Capacity: work.Room{CPU: p.CPU, Memory: 1 << 20}},
 	}
-	w.sendHeartbeat(false)
-	// The polls of the workers are spread evenly over the interval.
-	r.clock.after(time.Duration(i)*pollInterval/time.Duration(r.pattern.workers()), w.pollLoop)
+	w.pollOffset = time.Duration(i) * pollInterval / time.Duration(r.pattern.workers())
 	return w
 }
+
+// begin sends the first heartbeat and starts the polls.
+func (w *modelWorker) begin() {
+	w.sendHeartbeat(false)
+	w.replay.clock.after(w.pollOffset, w.pollLoop)
+}
