Renew the lease of runs that were ordered before the first poll

An agent that takes a start before its first answered poll took the run in that poll for one of an earlier incarnation and let the lease expire: the run lapsed and the worker took nothing for 0.8 to 1 s.

Change: only runs that the Guard did not order count as earlier ones; the replay polls each worker first.

--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -204,8 +204,9 @@
 	return w
 }
 
-// begin sends the first heartbeat and starts the polls.
+// begin sends the first heartbeat and poll, and starts the poll loop.
 func (w *modelWorker) begin() {
 	w.sendHeartbeat(false)
+	w.poll()
 	w.replay.clock.after(w.pollOffset, w.pollLoop)
 }
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -92,7 +92,7 @@
 // jobs. So all ends are retained until the worker's lease has expired, or an entry
 // reports that the site stores no jobs.
 func (g *Guard) takeFirstSnapshot(now time.Time, snapshot *Snapshot) {
-	if !g.lastPoll.IsZero() || len(snapshot.Running) == 0 && len(snapshot.Ended) == 0 {
+	if !g.lastPoll.IsZero() || !g.listsEarlierRuns(snapshot) {
 		return
 	}
 	g.mayListInherited = true
@@ -100,6 +100,20 @@
 	g.pauseRenewal(now)
 }
 
+// listsEarlierRuns reports whether a snapshot lists a run that this Guard did not order.
+func (g *Guard) listsEarlierRuns(snapshot *Snapshot) bool {
+	isOwn := func(r work.Run) bool {
+		known, ok := g.runs[r.Task]
+		return ok && known.start.Run == r
+	}
+	for r := range snapshot.Running {
+		if !isOwn(r) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(snapshot.Ended, func(e Ended) bool { return !isOwn(e.Run) })
+}
+
 // pauseRenewal lets the worker's lease expire.
 func (g *Guard) pauseRenewal(now time.Time) {
 	if g.renewalPausedAt.IsZero() {
--- a/worker/tenure_test.go
+++ b/worker/tenure_test.go
@@ -146,3 +146,15 @@
 		}
 	})
 }
+
+// TestRunOrderedBeforeTheFirstPollKeepsItsLease guards against a start that comes
+// before the first poll and is taken for a run of an earlier incarnation.
+func TestRunOrderedBeforeTheFirstPollKeepsItsLease(t *testing.T) {
+	d := newDriver(t)
+	d.order(start(0, 1, 10))
+	d.advance(10 * time.Millisecond)
+	d.answerPoll(5, run(0, 1))
+	if d.g.RenewalPaused() {
+		t.Error("the lease is not renewed, want it renewed")
+	}
+}
