Serve sooner after a start of all processes

Each entry rejects the requests of its first 13 ms, before it has the configuration.

Change: an entry waits 50 ms for another home, 25 times the longest round trip, and checks every 20 ms while there is none; greetings are as rare as before. A request that arrives before the configuration waits for it, at most 300 ms after the entry's start.

--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -127,22 +128,33 @@
 // keeps its state. Jobs submitted after the users' recovery bound must complete.
 func TestAllProcessesRestart(t *testing.T) {
 	runWithFleet(t, func(_ *testing.T, s *fleet) {
-		for i := range fleetEntries {
-			s.entry(i).Kill()
-		}
-		for i := range fleetAgents {
-			s.agent(i).Kill()
-		}
-		time.Sleep(1200 * time.Millisecond)
-		for i := range fleetAgents {
-			s.startAgent(i)
-		}
-		for i := range fleetEntries {
-			s.startEntry(i)
-		}
+		s.restartAll(1200 * time.Millisecond)
 		time.Sleep(recoveryLimit)
 		s.load(2*time.Second, 0, 1, 2)
 		s.wantCompleted(1)
 		s.wantOneHome()
 	})
 }
+
+// TestJobsAreInTimeRightAfterARestart submits a job to each entry as soon as it
+// listens. The jobs must complete within their objective, although the entries have to
+// read the configuration, find a home and get to know the agents first.
+func TestJobsAreInTimeRightAfterARestart(t *testing.T) {
+	for _, cellSize := range []int{0, fleetAgents / 2} {
+		runWithCells(t, cellSize, func(t *testing.T, s *fleet) {
+			s.restartAll(1200 * time.Millisecond)
+			var callers sync.WaitGroup
+			for i := range fleetEntries {
+				callers.Go(func() {
+					submittedAt := time.Now()
+					s.submit(i, pingQueue, fmt.Sprintf("1%015x", i), 4)
+					if took := time.Since(submittedAt); took > pingQueue.Objective(100*time.Millisecond) {
+						t.Errorf("answer of entry %d after %v, want it within %v", i, took, pingQueue.Objective(100*time.Millisecond))
+					}
+				})
+			}
+			callers.Wait()
+			s.wantCompleted(1)
+		})
+	}
+}
--- a/site/entry.go
+++ b/site/entry.go
@@ -44,6 +44,7 @@
 	requestLog     zerolog.Logger // lines about single requests; rate-limited
 	clock          clock.Clock
 	life           string
+	startedAt      time.Time
 	store          *platform.Store
 	rpc            *wire.Server
 	front          *http.Server
@@ -87,6 +88,7 @@
 		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), news: make(map[string]homeNews), stamps: make(map[string]peerStamp), fetching: make(map[string]bool),
 		sessions: make(map[string]uint64), jobsAt: make(map[string]int),
 	}
+	e.startedAt = e.now()
 	e.requestLog = rateLimited(e.log, o.RequestLines)
 	e.ending, e.answerAll = context.WithCancelCause(context.Background())
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores}
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -94,9 +94,10 @@
 	}
 }
 
-// greetDuty is the loop that sends greetings: to the home often, to the panel at
+// greetDuty is the loop that sends greetings: to the homes often, to the panel at
 // longer intervals, and with each round of the panel to one other known entry, so that
-// parts of a site that do not know each other merge.
+// parts of a site that do not know each other merge. While no home is known it checks
+// more often whether this entry is to become home.
 func (e *Entry) greetDuty() {
 	lastGreeted := make(map[string]time.Time)
 	var lastOther time.Time
@@ -104,7 +105,11 @@
 		e.updateHome()
 		now := e.now()
 		due, rest, noHome := e.greetingsDue(now, lastGreeted)
-		if noHome || now.Sub(lastOther) >= panelGreetInterval {
+		pause, otherInterval := greetInterval(len(e.knownEntries.all())), panelGreetInterval
+		if noHome {
+			pause, otherInterval = homePollInterval, homeGreetInterval
+		}
+		if now.Sub(lastOther) >= otherInterval {
 			lastOther = now
 			due = append(due, leastRecentlyGreeted(rest, lastGreeted, noHome)...)
 		}
@@ -115,7 +120,7 @@
 		select {
 		case <-e.stop:
 			return
-		case <-time.After(greetInterval(len(e.knownEntries.all()))):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -141,10 +146,11 @@
 	panel = append(slices.Clone(panel), e.knownEntries.namedSince(now.Add(-panelNamedFor))...)
 	for _, address := range union(e.knownEntries.all(), panel) {
 		onPanel := slices.Contains(panel, address)
-		often := e.hasJobsAt(address) || onPanel && !ok || homes[address] && now.Sub(lastGreeted[address]) >= idleHomeGreetInterval-homeGreetInterval/2
+		elapsed := now.Sub(lastGreeted[address])
+		often := (e.hasJobsAt(address) || onPanel && !ok) && elapsed >= homeGreetInterval-homePollInterval
 		switch {
 		case address == e.node.Internal:
-		case often, onPanel && now.Sub(lastGreeted[address]) >= panelGreetInterval:
+		case often, homes[address] && elapsed >= idleHomeGreetInterval-homeGreetInterval/2, onPanel && elapsed >= panelGreetInterval:
 			due = append(due, address)
 		case !onPanel:
 			rest = append(rest, address)
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -27,7 +27,7 @@
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.openRequests.Add(1)
 	defer e.openRequests.Add(-1)
-	cfg := e.config.Load()
+	cfg := e.awaitConfig(r.Context())
 	if cfg == nil {
 		e.requestLog.Warn().Str("path", r.URL.Path).Msg("refused: no configuration yet")
 		e.logWriteError(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
@@ -60,6 +60,15 @@
 	}
 }
 
+// awaitConfig returns the configuration in force. An entry that has just started waits
+// for it up to configWait; the result is nil if there is none then.
+func (e *Entry) awaitConfig(ctx context.Context) *platform.Config {
+	for e.config.Load() == nil && ctx.Err() == nil && e.now().Sub(e.startedAt) < configWait {
+		sleep(ctx, homePollInterval)
+	}
+	return e.config.Load()
+}
+
 // logWriteError logs that a response could not be written.
 func (e *Entry) logWriteError(err error) {
 	if err != nil {
--- a/site/site.go
+++ b/site/site.go
@@ -87,7 +87,8 @@
 	startupAnnounceInterval = 100 * time.Millisecond // between announcements to an entry that does not answer, for startupAnnounceFor from the first one
 	startupAnnounceFor      = 5 * time.Second
 	agentContactTimeout     = 2500 * time.Millisecond // an entry removes an agent that is out of contact for this long
-	startupWait             = 150 * time.Millisecond  // before an entry becomes home; a home in contact answers within a few ms
+	startupWait             = 50 * time.Millisecond   // before an entry becomes home; a home in contact answers within a few ms
+	configWait              = 300 * time.Millisecond  // for the configuration, which a started entry has after a few answers of the store
 	panelSize               = 5                       // candidates for failover; they are all lost at once only if the site is lost
 	peerRetention           = 30 * time.Second
 	runNumberStride         = 1000 // between run numbers of a task under successive homes
