Continue jobs at a home whose connections were reset

At 9.24 s all connections of the home were reset; the home went on. Every entry gave its jobs up there and handed them to the next home 850 ms later: 20 failed and 7 were late, the home changed, and all of its runs were stopped.

Change: an entry whose connection broke hands the job again to the same incarnation of the home, which knows the job or its outcome. Only if the home does not take it is it given up, as before; a home that was killed refuses at once. New entries do neither this nor the check of stamps with homes of earlier builds.

--- a/failure/conn_test.go
+++ b/failure/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -62,6 +63,10 @@
 
 func (s *stream) write(p []byte) (n int, err error) {
 	s.update(func() {
+		if s.network.isReset(s.link, s.openedAt) {
+			err = syscall.ECONNRESET
+			return
+		}
 		if s.writerClosed || s.readerClosed {
 			err = net.ErrClosed
 			return
@@ -104,6 +109,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case s.network.isReset(s.link, s.openedAt):
+		return 0, 0, nil, syscall.ECONNRESET
 	case s.readerClosed:
 		return 0, 0, nil, net.ErrClosed
 	case blocked:
--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -81,6 +81,12 @@
 	{"orders late", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(3 * time.Second) }},
 	{"orders never carried out", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(0) }},
 	{"open connections silent", 0.85, func(s *fleet) { s.network.blackholeOpenConns() }},
+	{"connections of the home reset", 0.99, func(s *fleet) {
+		for range 3 {
+			s.network.resetConns(fmt.Sprint("e", s.home()))
+			time.Sleep(700 * time.Millisecond)
+		}
+	}},
 	{"store down", 1, func(s *fleet) {
 		s.store.SetFaults(standin.StoreFaults{Down: true})
 		time.Sleep(3 * time.Second)
--- a/failure/network_test.go
+++ b/failure/network_test.go
@@ -19,8 +19,9 @@
 	listeners        map[string]*listener
 	cuts             map[link]bool
 	paused           map[string]bool
-	blackholedBefore time.Time     // connections opened before this time carry no data
-	changed          chan struct{} // closed and replaced when a cut or a pause begins or ends
+	blackholedBefore time.Time            // connections opened before this time carry no data
+	resetAt          map[string]time.Time // by host: connections that were opened earlier are reset
+	changed          chan struct{}        // closed and replaced when a cut or a pause begins or ends
 }
 
 // link is one direction between two hosts.
@@ -52,6 +53,23 @@
 	n.update(func() { n.paused[host] = on })
 }
 
+// resetConns resets all open connections of a host; new ones work.
+func (n *network) resetConns(host string) {
+	n.update(func() {
+		if n.resetAt == nil {
+			n.resetAt = make(map[string]time.Time)
+		}
+		n.resetAt[host] = time.Now()
+	})
+}
+
+// isReset reports whether a connection over a link has been reset.
+func (n *network) isReset(l link, openedAt time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return openedAt.Before(n.resetAt[l.from]) || openedAt.Before(n.resetAt[l.to])
+}
+
 // blackholeOpenConns makes all open connections drop their data, without a reset.
 func (n *network) blackholeOpenConns() { n.update(func() { n.blackholedBefore = time.Now() }) }
 
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -144,7 +144,7 @@
 		return out, moved, nil
 	}
 	args.Session, args.Echo = e.addJobAt(m.Address), e.stampOf(m)
-	if args.Echo == 0 {
+	if args.Echo == 0 && sendsStamps(m) {
 		e.removeJobAt(m.Address)
 		return out, true, nil // its first greeting has not been answered
 	}
@@ -154,6 +154,11 @@
 	go e.watchHome(watched, cancel, m, args.Session)
 	c := e.peer(m.Address)
 	rep, err := wire.Call[RunArgs, RunReply](watched, c, entryRun, args)
+	if errors.Is(err, wire.ErrBroken) && sendsStamps(m) {
+		if again, ok := e.reattach(watched, c, m, *args); ok {
+			rep, err = again, nil
+		}
+	}
 	switch {
 	case err == nil:
 		return rep.Outcome, rep.Moved, nil
@@ -165,6 +170,33 @@
 	return out, false, err
 }
 
+// sendsStamps reports whether an entry is of a build that sends stamps in greetings and
+// checks for which incarnation of a home a job is meant. Earlier builds know no cells.
+func sendsStamps(m roster.Member) bool { return m.Cells > 0 }
+
+// maxReattachments bounds how often a job is handed again to a home whose connection
+// broke.
+const maxReattachments = 3
+
+// reattach hands a job again to the home that has it, after the connection broke. A
+// home that lives knows the job and goes on with it. It reports false if the home does
+// not take the call, which then may have ended.
+func (e *Entry) reattach(ctx context.Context, c *wire.Client, m roster.Member, args RunArgs) (rep *RunReply, ok bool) {
+	args.Home = m.Life
+	for n := 0; n < maxReattachments && ctx.Err() == nil; n++ {
+		args.Echo = e.stampOf(m)
+		rep, err := wire.Call[RunArgs, RunReply](ctx, c, entryRun, &args)
+		switch {
+		case err == nil && !rep.Moved:
+			e.requestLog.Info().Str("job", args.Job.ID).Str("home", m.Name).Msg("connection to the home broke; job continued there")
+			return rep, true
+		case !errors.Is(err, wire.ErrBroken):
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
 // addJobAt counts a job that is handed to a home, and returns its session there.
 func (e *Entry) addJobAt(address string) uint64 {
 	e.mu.Lock()
--- a/site/home.go
+++ b/site/home.go
@@ -153,7 +153,7 @@
 // run runs a job and waits for its outcome. If this entry is not home of a cell, run
 // does nothing and returns moved.
 func (h *home) run(ctx context.Context, args *RunArgs) (out work.Outcome, moved bool) {
-	if !h.e.placesTasks() {
+	if args.Home == "" && !h.e.placesTasks() || args.Home != "" && args.Home != h.e.life {
 		return out, true
 	}
 	w := &waiter{entry: entrySession{args.Entry, args.Session}, done: make(chan work.Outcome, 1)}
--- a/site/messages.go
+++ b/site/messages.go
@@ -99,6 +99,9 @@
 	Job      work.Job
 	FirstRun int           // runs of each task are numbered from FirstRun+1
 	Echo     time.Duration // the home's last stamp that the sender has
+	// Home is the incarnation of the home that may have the job already; empty for a job
+	// that is handed over for the first time.
+	Home string
 }
 
 // RunReply is sent when the job has ended.
