Replace silent connections before the contact times out

Cause: as with resets, connections may go silent for good while new ones work. An entry noticed it after 350 ms, when the home counts as lost already; a home noticed it on a large site after 200 + 250 ms, when the agent stops its runs.

Change: a greeting that is not answered for 150 ms is repeated at once on a new connection, jobs are continued there; an exchange with an agent may be 120 ms late, and the next one does not wait, so that the agent gets a recent echo.

--- a/failure/conn_test.go
+++ b/failure/conn_test.go
@@ -71,7 +71,7 @@
 			err = net.ErrClosed
 			return
 		}
-		if s.network.isBlackholed(s.openedAt) {
+		if s.network.isSilent(s.link, s.openedAt) {
 			return
 		}
 		s.chunks = append(s.chunks, chunk{time.Now().Add(latency), append([]byte(nil), p...)})
--- a/failure/network_test.go
+++ b/failure/network_test.go
@@ -20,6 +20,7 @@
 	cuts             map[link]bool
 	paused           map[string]bool
 	blackholedBefore time.Time            // connections opened before this time carry no data
+	silentAt         map[string]time.Time // by host: connections among entries and agents that were opened earlier carry no data
 	resetAt          map[string]time.Time // by host: connections that were opened earlier are reset
 	changed          chan struct{}        // closed and replaced when a cut or a pause begins or ends
 }
@@ -63,6 +64,25 @@
 	})
 }
 
+// silence makes all open connections between a host and the entries and agents drop
+// their data, without a reset.
+func (n *network) silence(host string) {
+	n.update(func() {
+		if n.silentAt == nil {
+			n.silentAt = make(map[string]time.Time)
+		}
+		n.silentAt[host] = time.Now()
+	})
+}
+
+// isSilent reports whether a connection over a link drops its data.
+func (n *network) isSilent(l link, openedAt time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isOurs := func(host string) bool { return host[0] == 'e' || host[0] == 'a' }
+	return openedAt.Before(n.blackholedBefore) || isOurs(l.from) && isOurs(l.to) && (openedAt.Before(n.silentAt[l.from]) || openedAt.Before(n.silentAt[l.to]))
+}
+
 // isReset reports whether a connection over a link has been reset.
 func (n *network) isReset(l link, openedAt time.Time) bool {
 	n.mu.Lock()
@@ -73,12 +93,6 @@
 // blackholeOpenConns makes all open connections drop their data, without a reset.
 func (n *network) blackholeOpenConns() { n.update(func() { n.blackholedBefore = time.Now() }) }
 
-func (n *network) isBlackholed(openedAt time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return openedAt.Before(n.blackholedBefore)
-}
-
 // blocked reports whether a link holds its data back. It also returns a channel
 // that is closed when this may have changed.
 func (n *network) blocked(l link) (isBlocked bool, changed <-chan struct{}) {
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -196,18 +196,27 @@
 	}
 }
 
+// greet greets an entry, once more on a new connection if the present one is silent.
+// The roster detects entries that are out of contact.
 func (e *Entry) greet(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
+	if !e.greetOnce(address) && e.resetIfUnanswered(address) {
+		e.greetOnce(address)
+	}
+}
+
+// greetOnce greets an entry and reports whether it answered.
+func (e *Entry) greetOnce(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), greetAnswerTimeout)
 	defer cancel()
 	args := e.greeting(address)
 	args.Panel = nil
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
 	if err != nil {
-		e.resetIfUnanswered(address)
-		return // the roster detects entries that are out of contact
+		return false
 	}
 	e.greetingAnswered(address)
 	e.takeGreeting(rep)
+	return true
 }
 
 // peerStamp is the last stamp that an incarnation of another entry has sent.
@@ -241,14 +250,18 @@
 }
 
 // resetIfUnanswered closes a connection on which no greeting was answered for
-// homeContactTimeout. A connection may be dead while new ones work.
-func (e *Entry) resetIfUnanswered(address string) {
+// silentConnTimeout, and reports whether it did. A connection may be dead while new
+// ones work.
+func (e *Entry) resetIfUnanswered(address string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p, now := e.peers[address], e.now(); now.Sub(p.lastAnswered) > homeContactTimeout {
-		p.lastAnswered = now
-		p.client.Reset()
+	p, now := e.peers[address], e.now()
+	if now.Sub(p.lastAnswered) <= silentConnTimeout {
+		return false
 	}
+	p.lastAnswered = now
+	p.client.Reset()
+	return true
 }
 
 // currentHome returns the home and whether there is one.
--- a/site/link.go
+++ b/site/link.go
@@ -48,15 +48,22 @@
 	}
 }
 
-// duty is the loop that asks the agent for events.
+// duty is the loop that asks the agent for events. After an exchange without an answer
+// the next one does not wait, so that the agent gets a recent echo before it stops the
+// runs of this home.
 func (l *link) duty() {
+	answered := true
 	for {
 		select {
 		case <-l.stop:
 			return
 		default:
 		}
-		if l.sync(l.syncWaitTime()) {
+		wait := time.Duration(0)
+		if answered {
+			wait = l.syncWaitTime()
+		}
+		if answered = l.sync(wait); answered {
 			continue
 		}
 		select {
--- a/site/site.go
+++ b/site/site.go
@@ -70,7 +70,7 @@
 	maxSyncWait             = 200 * time.Millisecond                 // for agents with tasks; suspectAfter less the time of a message that is sent again
 	maxIdleSyncWait         = 400 * time.Millisecond                 // for agents without tasks
 	suspectIdleAfter        = maxIdleSyncWait + 150*time.Millisecond // suspectAfter for agents without tasks
-	syncSlack               = 250 * time.Millisecond                 // for the answer to a sync that has waited
+	syncSlack               = 120 * time.Millisecond                 // for the answer to a sync that has waited
 	suspectAfter            = 300 * time.Millisecond                 // an agent that is out of contact for this long gets no new task
 	runsLostAfter           = stopRunsAfter + workerLease + 100*time.Millisecond
 	withdrawJobsAfter       = 450 * time.Millisecond // a home withdraws the jobs of an entry that is out of contact for this long
@@ -81,6 +81,8 @@
 	panelNamedFor           = time.Second            // how long an entry is greeted like the panel after another entry named it
 	panelGreetInterval      = 400 * time.Millisecond
 	greetTimeout            = 250 * time.Millisecond
+	greetAnswerTimeout      = 150 * time.Millisecond               // for the answer to a greeting between entries
+	silentConnTimeout       = 200 * time.Millisecond               // a connection that has answered no greeting for this long is replaced; a greeting on the new one is answered within homeContactTimeout
 	peerContactTimeout      = 1200 * time.Millisecond              // for entries that are not home
 	failoverDelay           = stopRunsAfter + 400*time.Millisecond // from the last message to a lost home until its jobs are handed to the next one; covers the leases and a stop that is sent twice
 	announceInterval        = 700 * time.Millisecond
