Hand a job on when the cell of its home has no workers

Cause: a home without a worker in contact lets jobs wait until their objective, since workers may come back. On a divided site another home can run them at once.

Change: the entry says whether another candidate follows; the home then rejects the job.

--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -231,3 +231,25 @@
 		w.SetFaults(standin.WorkerFaults{})
 	}
 }
+
+// TestCellWithoutWorkersHandsJobsOn kills all agents but one, so that a cell has none.
+// Its home must hand jobs to the other cell at once.
+func TestCellWithoutWorkersHandsJobsOn(t *testing.T) {
+	runWithCells(t, fleetAgents/2, func(t *testing.T, s *fleet) {
+		for i := range fleetAgents - 1 {
+			s.agent(i).Kill()
+		}
+		time.Sleep(time.Second)
+		for i := range 8 {
+			submittedAt := time.Now()
+			s.submit(i%fleetEntries, pingQueue, fmt.Sprintf("1%015x", i), 1)
+			if took, limit := time.Since(submittedAt), pingQueue.Objective(100*time.Millisecond); took > limit {
+				t.Errorf("answer to job %d after %v, want it within %v", i, took, limit)
+			}
+		}
+		s.wantCompleted(1)
+		for i := range fleetAgents - 1 {
+			s.startAgent(i)
+		}
+	})
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -175,7 +175,7 @@
 	}
 	c.jobs[w.ID] = j
 	c.unblock(now, j)
-	if reason, retry := c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason != "" && reason != reasonNoWorkers {
+	if reason, retry := c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
 		c.reject(now, j, reason, retry)
 		return
 	}
--- a/schedule/withdraw_test.go
+++ b/schedule/withdraw_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// TestJobWithAnAlternativeIsRejectedWithoutWorkers checks that a home whose workers are
+// all lost does not hold a job that another home could run.
+func TestJobWithAnAlternativeIsRejectedWithoutWorkers(t *testing.T) {
+	h := newHarness(t)
+	h.submit(job("waits", 0, 1, 100*time.Millisecond))
+	h.wantOutcome("waits", "")
+	j := job("handedOn", 0, 1, 100*time.Millisecond)
+	j.Alternative = true
+	h.submit(j)
+	h.wantOutcome("handedOn", work.Rejected)
+}
+
 func TestRunThatEndsWithinTheGracePeriodIsNotStopped(t *testing.T) {
 	h := newHarness(t)
 	h.addAgent("a", 1)
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -56,8 +56,9 @@
 // It returns the outcome and the last home that was tried.
 func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt time.Time) (out work.Outcome, home roster.Member, result runResult) {
 	result = homeUnreached
-	for _, home = range candidates {
-		j.Age = e.now().Sub(receivedAt)
+	for i := range candidates {
+		home = candidates[i]
+		j.Age, j.Alternative = e.now().Sub(receivedAt), i < len(candidates)-1
 		args := RunArgs{Entry: e.life, Job: j, FirstRun: firstRun}
 		args.Job.Left = j.Left - j.Age
 		answer, moved, err := e.runAt(ctx, home, &args)
--- a/work/work.go
+++ b/work/work.go
@@ -85,18 +85,19 @@
 
 // Job is a job as its caller submitted it.
 type Job struct {
-	ID     string        `json:"id"`
-	Queue  Queue         `json:"queue"`
-	Spec   string        `json:"spec,omitempty"`
-	Steps  []Step        `json:"steps"`
-	Stored bool          `json:"stored,omitempty"` // it survives restarts; its caller does not wait for its end
-	Lasts  bool          `json:"lasts,omitempty"`  // its tasks run until it is cancelled, and restart when they end
-	Times  int           `json:"times,omitempty"`  // number of occurrences; 0 for one, which starts at once
-	First  time.Time     `json:"first,omitzero"`   // wall-clock time of the first occurrence
-	Every  time.Duration `json:"every,omitempty"`  // interval between occurrences
-	Left   time.Duration `json:"left,omitempty"`   // how long the caller still waits, counted from the handover of the job
-	Trace  string        `json:"trace,omitempty"`  // W3C traceparent of the previous hop; empty if it is not traced
-	Age    time.Duration `json:"age,omitempty"`    // time between the receipt of the job by the system and its handover
+	ID          string        `json:"id"`
+	Queue       Queue         `json:"queue"`
+	Spec        string        `json:"spec,omitempty"`
+	Steps       []Step        `json:"steps"`
+	Stored      bool          `json:"stored,omitempty"` // it survives restarts; its caller does not wait for its end
+	Lasts       bool          `json:"lasts,omitempty"`  // its tasks run until it is cancelled, and restart when they end
+	Times       int           `json:"times,omitempty"`  // number of occurrences; 0 for one, which starts at once
+	First       time.Time     `json:"first,omitzero"`   // wall-clock time of the first occurrence
+	Every       time.Duration `json:"every,omitempty"`  // interval between occurrences
+	Left        time.Duration `json:"left,omitempty"`   // how long the caller still waits, counted from the handover of the job
+	Trace       string        `json:"trace,omitempty"`  // W3C traceparent of the previous hop; empty if it is not traced
+	Age         time.Duration `json:"age,omitempty"`    // time between the receipt of the job by the system and its handover
+	Alternative bool          `json:"-"`                // another home takes the job if this one rejects it
 }
 
 // Slots returns the number of slots: the steps of all occurrences.
