--- a/roster/cell.go
+++ b/roster/cell.go
@@ -40,18 +40,9 @@
 		}
 		return nil
 	}
-	maxAgents := 0
-	for i := range members {
-		maxAgents = max(maxAgents, members[i].Agents)
-	}
-	var homes []Member
-	for i := range members {
-		m := &members[i]
-		isHome := hasHome && m.Address == home.Address
-		if isHome || !m.Leaving && !m.Young && 2*m.Agents >= maxAgents && (hasHome || m.Places) {
-			homes = append(homes, *m)
-		}
-	}
+	homes := slices.DeleteFunc(suitable(slices.Clone(members)), func(m Member) bool {
+		return m.Address != home.Address && (m.Young || !hasHome && !m.Places)
+	})
 	slices.SortFunc(homes, func(a, b Member) int {
 		switch {
 		case hasHome && a.Address == home.Address:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -52,6 +52,9 @@
 	Agents  int    // number of agents that it is in contact with
 	Cells   int    // into how many cells it divides the site, if it is home
 	Places  bool   // it acts as home of a cell
+	// Overloaded is set while its timers fire late; such an entry is home only if all are
+	// overloaded.
+	Overloaded bool
 }
 
 // Roster is one entry's view of the entries of a site. New makes one.
@@ -142,6 +145,12 @@
 	r.self.Cells = n
 }
 
+// SetOverloaded records whether this entry is overloaded.
+func (r *Roster) SetOverloaded(overloaded bool) {
+	r.view.unchanged = r.view.unchanged && overloaded == r.self.Overloaded
+	r.self.Overloaded = overloaded
+}
+
 // RecordContact records contact with an entry and its description.
 func (r *Roster) RecordContact(now time.Time, m Member) {
 	if m.Address == "" || m.Address == r.self.Address {
@@ -192,17 +201,10 @@
 }
 
 func (r *Roster) electHome(now time.Time) (m Member, ok bool) {
-	members := append(r.InContact(now), r.Self(now))
-	maxAgents := 0
-	for i := range members {
-		maxAgents = max(maxAgents, members[i].Agents)
-	}
+	members := suitable(append(r.InContact(now), r.Self(now)))
 	var home, strongest *Member
 	for i := range members {
 		m := &members[i]
-		if m.Leaving || 2*m.Agents < maxAgents {
-			continue
-		}
 		if m.Term > 0 && (home == nil || outranks(m, home)) {
 			home = m
 		}
@@ -225,6 +227,21 @@
 	return *home, true
 }
 
+// suitable returns the members that may be home: those that are not leaving and reach
+// at least half as many agents as any. Overloaded ones are left out unless there is no
+// other.
+func suitable(members []Member) []Member {
+	maxAgents := 0
+	for i := range members {
+		maxAgents = max(maxAgents, members[i].Agents)
+	}
+	members = slices.DeleteFunc(members, func(m Member) bool { return m.Leaving || 2*m.Agents < maxAgents })
+	if slices.ContainsFunc(members, func(m Member) bool { return !m.Overloaded && !m.Young }) {
+		members = slices.DeleteFunc(members, func(m Member) bool { return m.Overloaded })
+	}
+	return members
+}
+
 // takeoverFactor is how many times as much processor capacity as a working home an
 // entry must have to take over from it. A failover costs little, since the previous
 // home continues its jobs.
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -101,6 +101,7 @@
 func (e *Entry) greetDuty() {
 	lastGreeted := make(map[string]time.Time)
 	var lastOther time.Time
+	var lag roster.Lag
 	for {
 		e.updateHome()
 		now := e.now()
@@ -122,6 +123,18 @@
 			return
 		case <-time.After(pause):
 		}
+		e.setOverloaded(lag.Add(e.now(), e.now().Sub(now)-pause))
+	}
+}
+
+// setOverloaded records whether this entry is overloaded. Another entry becomes home
+// then if it is not.
+func (e *Entry) setOverloaded(overloaded bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if overloaded != e.roster.Self(e.now()).Overloaded {
+		e.log.Warn().Bool("overloaded", overloaded).Msg("overload changed")
+		e.roster.SetOverloaded(overloaded)
 	}
 }
 
