Test that stored jobs end the division into cells

Cause: one home holds the ledger, so it has to place tasks on all agents.

Result: TestStoredJobsEndTheDivisionIntoCells passes, beside other jobs and with the home killed.

--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -235,3 +235,34 @@
 		})
 	}
 }
+
+// TestStoredJobsEndTheDivisionIntoCells stores jobs on a divided fleet. One home has to
+// place the tasks of stored jobs on all agents, beside jobs that are not stored, and
+// after a loss of the home.
+func TestStoredJobsEndTheDivisionIntoCells(t *testing.T) {
+	beside := func(s *fleet) {
+		var callers sync.WaitGroup
+		for k := range 60 {
+			callers.Go(func() { s.submit(k, pingQueue, fmt.Sprintf("2%015x", k), 4) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		callers.Wait()
+		s.wantCompleted(1)
+	}
+	for _, tc := range []fleetFault{{"beside other jobs", 1, beside}, fleetFaults[0]} {
+		t.Run(tc.name, func(t *testing.T) {
+			runWithCells(t, fleetAgents/2, func(t *testing.T, s *fleet) {
+				s.wantCells(2)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					tc.inject(s)
+				}()
+				j := s.loadStored(4 * time.Second)
+				<-done
+				j.checkGuarantees(t, 60)
+				s.wantCells(1)
+			})
+		})
+	}
+}
