Refuse malformed jobs and reports instead of ending the process

Change: work.Job.Validate bounds a job, at the entry and at the home; reported tasks are checked; progress is clamped.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,7 +13,9 @@
 // may act as home for a while, for example on both sides of a network partition: agents
 // decide on the free capacity of their workers themselves and so can serve both.
 //
-// A large site is divided into cells, each with a home of its own; see Homes and Cell.
+// A large site is divided into cells, each with a home of its own. The home of the site
+// sets their number, Homes names their homes, and Cell tells which agents belong to
+// one. Entries that are overloaded (see Lag) are home only if there is no other.
 //
 // A term counts homes and is not the epoch of the ledger's tenure. An entry is "young"
 // during its startup wait.
@@ -23,6 +25,7 @@
 //	r := roster.New(now, self, cfg)
 //	r.RecordContact(now, member)
 //	home, ok := r.Home(now)
+//	homes := r.Homes(now) // of all cells
 package roster
 
 import (
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -1,5 +1,5 @@
-// Package schedule decides which task runs where and when. It runs at the home,
-// the coordinator that places the tasks of a site.
+// Package schedule decides which task runs where and when. It runs at a home, the
+// coordinator that places the tasks of a site or of a cell of a large site.
 //
 // # Model
 //
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -194,6 +194,9 @@
 // first: a previous home has started it, so the earlier steps are done, although
 // their agents have not reported that yet.
 func (c *Core) awaitsPlacement(j *job, ref work.TaskRef) bool {
+	if !j.HasTask(ref) {
+		return false // a malformed report
+	}
 	tk := &j.tasks[j.Slot(ref)][ref.Index]
 	if tk.state == blocked {
 		tk.state = pending
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// TestReportedTaskThatDoesNotExistIsStopped guards against an agent whose malformed
+// report ends the process of the home.
+func TestReportedTaskThatDoesNotExistIsStopped(t *testing.T) {
+	h := newInheritingHarness(t, "a")
+	h.restore("j", 3, 0)
+	missing := run("j", 99, 5)
+	step := run("j", 0, 5)
+	step.Task.Step = 7
+	h.confirm("a", 2, []schedule.Kept{{Run: missing}, {Run: step}}, schedule.Event{Run: run("j", -1, 5), End: work.Done})
+	if len(h.stops["a"]) != 2 {
+		t.Errorf("stops %v, want two at a", h.stops)
+	}
+}
+
 func TestRunEndIsAcknowledgedOnceCommitted(t *testing.T) {
 	h := newTenureHarness(t, 4, "a")
 	h.restore("j", 1)
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -275,6 +275,9 @@
 
 // Run runs a job for another entry.
 func (m *entryMethods) Run(args *RunArgs, reply *RunReply) error {
+	if err := args.Job.Validate(); err != nil {
+		return err
+	}
 	reply.Outcome, reply.Moved = m.e.home.run(context.Background(), args)
 	return nil
 }
--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -173,6 +173,9 @@
 
 // Accept stores a job for another entry.
 func (m *entryMethods) Accept(args *AcceptArgs, reply *AcceptReply) error {
+	if err := args.Job.Validate(); err != nil {
+		return err
+	}
 	*reply = m.e.home.accept(context.Background(), args)
 	return nil
 }
--- a/site/site.go
+++ b/site/site.go
@@ -6,19 +6,21 @@
 //	caller ──► entry ──► home ──► agent ──► worker
 //
 // The entry that has a caller's connection is responsible for the answer. It hands
-// the whole job to the home, the coordinator that places all tasks of the site
-// (package schedule), and waits for the outcome. Package roster selects the home
-// among the entries; the panel is the home and the candidates for failover. An agent
-// (package worker) takes orders from homes and is the only process that calls its
-// worker.
+// the whole job to a home, a coordinator that places tasks (package schedule), and
+// waits for the outcome. A small site has one home; on a large one the agents are
+// divided into cells with a home each. Package roster selects the homes among the
+// entries; the panel is the homes and the candidates for failover. An agent (package
+// worker) takes orders from homes and is the only process that calls its worker.
 //
-// Jobs whose callers wait for the end are not stored. If a home is lost, the entries
-// hand their jobs to the next one only when every run of the lost home has certainly
-// ended. If an entry is lost, its callers submit again, and its runs have ended by
-// then. The times in this file guarantee both.
+// Jobs whose callers wait for the end are not stored. If the connection to a home
+// breaks, the entry asks the same home again, which goes on with its jobs. If a home is
+// lost, the entries hand their jobs to another one only when every run of the lost home
+// has certainly ended. If an entry is lost, its callers submit again, and its runs have
+// ended by then. The times in this file guarantee both.
 //
 // Stored jobs are in the ledger (package ledger), which one home holds at a time for
 // a tenure (its term, a lease with an epoch). The next holder goes on with their runs.
+// A site that stores jobs is not divided.
 //
 // The packages schedule, worker, roster and ledger make the decisions. This package
 // moves their inputs and outputs: HTTP through package platform, net/rpc through
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -130,6 +130,7 @@
 
 // updateProgress records the progress of a run, and whether it is slow or stalled.
 func (g *Guard) updateProgress(now time.Time, r *run, percent int) {
+	percent = min(max(percent, 0), 100)
 	if percent > r.percent || r.lastProgress.IsZero() {
 		r.percent, r.lastProgress = percent, now
 	}
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -320,3 +320,20 @@
 		t.Errorf("slow %+v", slow)
 	}
 }
+
+// TestProgressOutOfRangeIsTolerated guards against a worker whose malformed list of runs
+// ends the process of the agent.
+func TestProgressOutOfRangeIsTolerated(t *testing.T) {
+	for _, percent := range []int{-1, -1000, 101, 1 << 40} {
+		d := newDriver(t)
+		d.order(start(0, 1, 10))
+		d.g.Started(d.now, run(0, 1), "", false)
+		for range 3 {
+			d.advance(50 * time.Millisecond)
+			d.answerPoll(percent, run(0, 1))
+		}
+		if d.g.Running() != 1 {
+			t.Errorf("%d%% done: %d runs, want 1", percent, d.g.Running())
+		}
+	}
+}
