Agree on one home when entries start together

The first greetings met processes that did not listen yet and were repeated after 100 ms only, and an entry passed over stronger ones that ended their startup wait in the same millisecond.

Change: greetings are repeated every 20 ms in the first 100 ms without a home; an entry waits up to 50 ms more for a stronger one that starts at the same time.

--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -158,3 +158,32 @@
 		})
 	}
 }
+
+// TestEntriesThatStartTogetherAgreeOnOneHome starts all entries within a few
+// milliseconds. No two of them may act as home.
+func TestEntriesThatStartTogetherAgreeOnOneHome(t *testing.T) {
+	runWithFleet(t, func(t *testing.T, s *fleet) {
+		for i := range fleetEntries {
+			s.entry(i).Kill()
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for i := range fleetEntries {
+			s.startEntry(i)
+			time.Sleep(3 * time.Millisecond)
+		}
+		for range 40 {
+			var homes []int
+			for i := range fleetEntries {
+				if s.entry(i).IsHome() {
+					homes = append(homes, i)
+				}
+			}
+			if len(homes) > 1 {
+				t.Errorf("entries %v are home at the same time", homes)
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		s.wantOneHome()
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -38,7 +38,7 @@
 type Config struct {
 	HomeContactTimeout time.Duration // time without contact after which a home is out of contact; homes are greeted often
 	ContactTimeout     time.Duration // the same for other entries
-	StartupWait        time.Duration // time from the start in which an entry does not make itself home
+	StartupWait        time.Duration // time from the start in which an entry does not make itself home; twice that if a stronger one starts at the same time
 	PeerRetention      time.Duration // how long an entry out of contact is retained
 	PanelSize          int           // most entries on the panel besides the home
 }
@@ -103,8 +103,11 @@
 // greeting arrives.
 func (r *Roster) contactsUnchangedUntil(now time.Time) time.Time {
 	until := now.Add(r.cfg.ContactTimeout)
-	if ready := r.startedAt.Add(r.cfg.StartupWait); now.Before(ready) {
-		until = ready.Add(-1)
+	for _, end := range []time.Time{r.startedAt.Add(r.cfg.StartupWait), r.startedAt.Add(2 * r.cfg.StartupWait)} {
+		if now.Before(end) {
+			until = end.Add(-1)
+			break
+		}
 	}
 	for _, p := range r.peers {
 		if lostAt := p.lastContact.Add(r.contactTimeout(p)); !lostAt.Before(now) && lostAt.Before(until) {
@@ -205,17 +208,20 @@
 
 func (r *Roster) electHome(now time.Time) (m Member, ok bool) {
 	members := suitable(append(r.InContact(now), r.Self(now)))
+	// Entries that start together end their startup wait at the same time, before they
+	// know that of each other.
+	passesOverYoung := now.Sub(r.startedAt) >= 2*r.cfg.StartupWait
 	var home, strongest *Member
 	for i := range members {
 		m := &members[i]
 		if m.Term > 0 && (home == nil || outranks(m, home)) {
 			home = m
 		}
-		if !m.Young && (strongest == nil || stronger(m, strongest)) {
+		if (!m.Young || !passesOverYoung) && (strongest == nil || stronger(m, strongest)) {
 			strongest = m
 		}
 	}
-	selfIsStrongest := strongest != nil && strongest.Address == r.self.Address
+	selfIsStrongest := strongest != nil && strongest.Address == r.self.Address && !r.self.Young
 	if selfIsStrongest && (home == nil || strongest.Cores >= takeoverFactor*home.Cores) {
 		r.highestTerm++
 		r.self.Term = r.highestTerm
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -148,6 +148,8 @@
 // regular greetings, and whether no home is known.
 func (e *Entry) greetingsDue(now time.Time, lastGreeted map[string]time.Time) (due, rest []string, noHome bool) {
 	_, ok := e.currentHome()
+	// The others may start at the same time and not listen yet.
+	isStarting := !ok && now.Sub(e.startedAt) <= 2*startupWait
 	e.mu.Lock()
 	panel := e.roster.Panel(now)
 	homes := make(map[string]bool)
@@ -160,7 +162,7 @@
 	for _, address := range union(e.knownEntries.all(), panel) {
 		onPanel := slices.Contains(panel, address)
 		elapsed := now.Sub(lastGreeted[address])
-		often := (e.hasJobsAt(address) || onPanel && !ok) && elapsed >= homeGreetInterval-homePollInterval
+		often := (e.hasJobsAt(address) || onPanel && !ok) && elapsed >= homeGreetInterval-homePollInterval || isStarting
 		switch {
 		case address == e.node.Internal:
 		case often, homes[address] && elapsed >= idleHomeGreetInterval-homeGreetInterval/2, onPanel && elapsed >= panelGreetInterval:
