Add masticbay site explain: causes of unserved jobs from the logs

Change: package diagnosis collects the lines of all processes by job, classifies jobs that were not served in time and writes a table, or the lines and the cause of one job.

--- a/command/site.go
+++ b/command/site.go
@@ -31,7 +31,7 @@
 			{Name: "entry", Usage: "runs an entry, which serves callers", Flags: []cli.Flag{siteConfigFlag()}, Action: runSiteEntry},
 			{Name: "agent", Usage: "runs an agent, which runs tasks on the worker of this VM", Flags: []cli.Flag{siteConfigFlag()}, Action: runSiteAgent},
 			siteDemoCommand(),
-			siteReplayCommand(),
+			siteReplayCommand(), siteExplainCommand(),
 		},
 	}
 }
