Let restarted agents take tasks as soon as nothing is stored

Cause: after a stop of everything workers list ends that their agents have not seen. The agents take no task until a home says that no job is stored on the site, or for 0.8 to 1 s. The home asked the store up to 200 ms after it became home, told the agents with the next exchange, and learned of their readiness at the end of that one, 100 ms later. Homes of other cells were told with the next greeting.

Change: a new home asks at once and tells agents and the other homes at once; an agent that becomes ready ends its long polls.

--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -142,8 +142,19 @@
 func TestJobsAreInTimeRightAfterARestart(t *testing.T) {
 	for _, cellSize := range []int{0, fleetAgents / 2} {
 		runWithCells(t, cellSize, func(t *testing.T, s *fleet) {
-			s.restartAll(1200 * time.Millisecond)
+			// The workers list the ends of runs that the agents have not seen.
 			var callers sync.WaitGroup
+			for i := range 12 {
+				callers.Go(func() {
+					c := s.caller()
+					step := work.Step{Count: 2, Room: work.Room{CPU: taskCPU}, Estimate: 900 * time.Millisecond}
+					if _, err := c.Submit(s.ctx, s.frontAddress(i), longQueue.Name, fmt.Sprintf("9%015x", i), step); err == nil {
+						t.Error("a job was answered by a process that was killed")
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			s.restartAll(1200 * time.Millisecond)
 			for i := range fleetEntries {
 				callers.Go(func() {
 					submittedAt := time.Now()
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -46,6 +46,7 @@
 	if !*showLogs {
 		return zerolog.Nop()
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(os.Stderr).With().Str("node", node).Timestamp().Logger()
 }
 
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -18,12 +18,15 @@
 	a := m.a
 	a.mu.Lock()
 	a.guard.RecordContact(args.Home, fromStamp(args.Echo))
+	wasPaused := a.guard.RenewalPaused()
 	if args.Life == a.life {
 		a.applyTenure(args)
-	}
-	if args.Life == a.life {
 		a.takeOrders(args)
 	}
+	if wasPaused && !a.guard.RenewalPaused() {
+		a.signalEvents() // the worker takes tasks now
+		args.Wait = 0
+	}
 	eventsReady := a.eventsReady
 	hasNew := hasNewer(a.guard.Events(args.Home, args.Acked), args.Known)
 	a.mu.Unlock()
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -78,6 +78,7 @@
 func (e *Entry) takeGreeting(g *GreetReply) {
 	e.mu.Lock()
 	e.roster.RecordContact(e.now(), g.Member)
+	becameVacant := g.Vacant && !e.news[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
 		e.news[g.Member.Address] = homeNews{g.Waiting, g.Delay, g.Vacant, e.now()}
 	} else {
@@ -89,6 +90,9 @@
 	e.mu.Unlock()
 	e.knownEntries.add(e.now(), g.Panel...)
 	e.home.recordContact(g.Member.Life, g.Session, g.Echo)
+	if becameVacant {
+		e.home.reportVacant()
+	}
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
@@ -130,6 +134,7 @@
 		e.metrics.homeChanges.Inc(1)
 		e.log.Info().Str("home", home.Name).Str("life", home.Life).Str("before", previous).Uint64("term", home.Term).Bool("any", ok).Msg("home changed")
 		e.home.notify()
+		e.home.notifyLedger()
 		if home.Life == e.life {
 			e.greetAll()
 		}
--- a/site/home.go
+++ b/site/home.go
@@ -250,10 +250,16 @@
 		h.lastLinkUpdate, h.wasHome = now, isHome
 		h.updateLinks(now, isHome, running)
 	}
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs()})
+	h.publishStatus(now)
 	return waiting > 0 || running > 0
 }
 
+// publishStatus updates the status that is reported to other entries. The caller holds
+// mu.
+func (h *home) publishStatus(now time.Time) {
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs()})
+}
+
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
 // caller holds mu.
 func (h *home) storesJobs() bool {
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -105,9 +105,22 @@
 		h.e.log.Error().Err(err).Msg("ledger: cannot decode the holder")
 		return tenureRenewInterval
 	}
+	if h.ledger.Vacant() {
+		// Restarted agents wait for this before they take tasks.
+		h.publishStatus(h.e.now())
+		h.syncLinks()
+		h.e.greetAll()
+	}
 	return 0
 }
 
+// syncLinks starts an exchange with each agent. The caller holds mu.
+func (h *home) syncLinks() {
+	for _, l := range h.links {
+		go l.sync(0)
+	}
+}
+
 // acquireLedger makes the next commit take the ledger if any job is stored or is to
 // be stored. A home that has lost the ledger waits first, so that two homes that are
 // not in contact do not take it from each other in turn. The caller holds mu.
@@ -137,9 +150,7 @@
 	for _, j := range open {
 		h.restoreJob(now, j)
 	}
-	for _, l := range h.links {
-		go l.sync(0)
-	}
+	h.syncLinks()
 	h.e.log.Info().Uint64("epoch", h.ledger.Epoch()).Int("open", len(open)).Int("items", len(items)).Int("agents", len(h.previousAgents)).Msg("ledger held")
 	h.deliverDecisions()
 	return 0
--- a/site/home_stored.go
+++ b/site/home_stored.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// reportVacant tells the agents of this home that no job is stored on the site.
+func (h *home) reportVacant() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.syncLinks()
+}
+
 // isHome reports whether this entry is home. The caller holds mu.
 func (h *home) isHome() bool {
 	m, ok := h.e.currentHome()
