--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -14,8 +14,8 @@
 	lastAnnounced time.Time
 }
 
-// homeNews is what the home of a cell reports in its greetings.
-type homeNews struct {
+// homeReport is what the home of a cell reports in its greetings.
+type homeReport struct {
 	waiting    map[string]int // by queue: jobs that have not started
 	delay      time.Duration  // how long a new job would wait there
 	vacant     bool           // no job is stored on the site
@@ -68,7 +68,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.news[m.Address].delay
+	return e.homeReports[m.Address].delay
 }
 
 // awaitCandidates waits for homes of a job until homeWait is over or ctx ends.
@@ -121,6 +121,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m, ok := e.roster.Home(e.now())
-	news := e.news[m.Address]
-	return ok && news.vacant && e.now().Sub(news.receivedAt) <= homeContactTimeout
+	report := e.homeReports[m.Address]
+	return ok && report.vacant && e.now().Sub(report.receivedAt) <= homeContactTimeout
 }
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -78,11 +78,11 @@
 func (e *Entry) takeGreeting(g *GreetReply) {
 	e.mu.Lock()
 	e.roster.RecordContact(e.now(), g.Member)
-	becameVacant := g.Vacant && !e.news[g.Member.Address].vacant
+	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
-		e.news[g.Member.Address] = homeNews{g.Waiting, g.Delay, g.Vacant, e.now()}
+		e.homeReports[g.Member.Address] = homeReport{g.Waiting, g.Delay, g.Vacant, e.now()}
 	} else {
-		delete(e.news, g.Member.Address)
+		delete(e.homeReports, g.Member.Address)
 	}
 	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp {
 		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp}
@@ -165,7 +165,7 @@
 			continue
 		}
 		e.mu.Lock()
-		n += e.news[m.Address].waiting[queue]
+		n += e.homeReports[m.Address].waiting[queue]
 		e.mu.Unlock()
 	}
 	return n
