Take only a job's end as answer to a call that was repeated

When a connection to a home breaks, the entry hands the job to it again; a slow home may read that call first, reject the job, and afterwards read the first call, whose connection is closed but whose data has arrived, and run it.

Change: an answer to a repeated call counts only if the job has ended.

--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -181,14 +181,15 @@
 
 // reattach hands a job again to the home that has it, after the connection broke. A
 // home that lives knows the job and goes on with it. It reports false if the home does
-// not take the call, which then may have ended.
+// not take the call, which then may have ended, or if the answer is not that the job has
+// ended: the home may still receive the first call and run the job.
 func (e *Entry) reattach(ctx context.Context, c *wire.Client, m roster.Member, args RunArgs) (rep *RunReply, ok bool) {
 	args.Home = m.Life
 	for n := 0; n < maxReattachments && ctx.Err() == nil; n++ {
 		args.Echo = e.stampOf(m)
 		rep, err := wire.Call[RunArgs, RunReply](ctx, c, entryRun, &args)
 		switch {
-		case err == nil && !rep.Moved:
+		case err == nil && (rep.Outcome.State == work.Completed || rep.Outcome.State == work.JobFailed):
 			e.requestLog.Info().Str("job", args.Job.ID).Str("home", m.Name).Msg("connection to the home broke; job continued there")
 			return rep, true
 		case !errors.Is(err, wire.ErrBroken):
