--- a/failure/network_test.go
+++ b/failure/network_test.go
@@ -18,6 +18,7 @@
 	mu               sync.Mutex // guards what follows
 	listeners        map[string]*listener
 	cuts             map[link]bool
+	refused          map[link]bool // links over which connections are refused
 	paused           map[string]bool
 	blackholedBefore time.Time            // connections opened before this time carry no data
 	silentAt         map[string]time.Time // by host: connections among entries and agents that were opened earlier carry no data
@@ -32,6 +33,7 @@
 	return &network{
 		listeners: make(map[string]*listener),
 		cuts:      make(map[link]bool),
+		refused:   make(map[link]bool),
 		paused:    make(map[string]bool),
 		changed:   make(chan struct{}),
 	}
@@ -54,6 +56,11 @@
 	n.update(func() { n.paused[host] = on })
 }
 
+// refuse starts or ends refusing connections that one host opens to another.
+func (n *network) refuse(from, to string, on bool) {
+	n.update(func() { n.refused[link{from, to}] = on })
+}
+
 // resetConns resets all open connections of a host; new ones work.
 func (n *network) resetConns(host string) {
 	n.update(func() {
@@ -147,6 +154,9 @@
 	time.Sleep(2 * latency)
 	h.network.mu.Lock()
 	ln := h.network.listeners[address]
+	if h.network.refused[link{h.name, address}] {
+		ln = nil
+	}
 	h.network.mu.Unlock()
 	refused := &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	if ln == nil {
