Log stops at the agent, and how long stopped runs go on

Change: an order to stop carries its reason. The agent logs "stop ordered" (run, reason, token) and "stopped run ended" (run, end as listed, stopMs since the first request), both rate-limited, and records the histogram stop_seconds. The guard keeps the first request of a stop beside the last one. Orders to the worker moved to a file of their own. Names of lines, metrics and fields are as before.

--- a/site/agent.go
+++ b/site/agent.go
@@ -13,7 +13,6 @@
 	"masticbay/clock"
 	"masticbay/identity"
 	"masticbay/platform"
-	"masticbay/telemetry"
 	"masticbay/wire"
 	"masticbay/work"
 	"masticbay/worker"
@@ -185,59 +184,6 @@
 	a.eventsReady = make(chan struct{})
 }
 
-// executeOrders sends the orders that the guard has decided on to the worker. The
-// caller holds mu.
-func (a *Agent) executeOrders() {
-	for _, o := range a.guard.Take() {
-		if o.Stop {
-			go a.stopRun(o)
-		} else {
-			go a.startRun(o)
-		}
-	}
-}
-
-func (a *Agent) startRun(o worker.Order) {
-	ctx, span := telemetry.StartSpan(telemetry.Extract(context.Background(), o.Start.Trace), "agent → worker")
-	defer span.End()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	sent := a.now()
-	ans, err := a.worker.Start(ctx, o.Start, o.Until, o.Token)
-	a.metrics.startTime.RecordDuration(a.now().Sub(sent))
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if err != nil {
-		a.metrics.unanswered.Inc(1)
-		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
-		a.guard.Unanswered(o.Start.Run)
-		go a.poll(0) // with the higher fencing token
-		return
-	}
-	reason := ""
-	if ans.Accepted {
-		a.metrics.started.Inc(1)
-	} else {
-		reason = ans.Reason
-		a.metrics.refused.Inc(1)
-		a.runLog.Info().Str("run", o.Start.Run.String()).Str("reason", reason).Uint64("token", o.Token).Msg("start refused by the worker")
-	}
-	a.guard.Started(a.now(), o.Start.Run, reason, reason == platform.ReasonFence)
-	a.executeOrders()
-	if reason != "" {
-		a.signalEvents()
-	}
-}
-
-func (a *Agent) stopRun(o worker.Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	if _, err := a.worker.Stop(ctx, o.Start.Run, o.Token); err != nil {
-		// The next poll repeats the order if the run is still there.
-		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Msg("stop not answered")
-	}
-}
-
 // pollLoop polls the worker, which renews the lease of its runs and returns their
 // ends.
 func (a *Agent) pollLoop() {
@@ -292,6 +238,7 @@
 	case err != nil:
 		a.metrics.pollsFailed.Inc(1)
 		a.guard.PollFailed(now)
+		a.reportStopped()
 		if a.guard.OutOfContact() {
 			a.logWorkerContact(true, err)
 			a.signalEvents()
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -61,6 +61,7 @@
 	pollsFailed tally.Counter   // polls without an answer
 	orphaned    tally.Counter   // runs stopped because their home was out of contact
 	startTime   tally.Histogram // answer time of starts
+	stopTime    tally.Histogram // from the first request of a stop to the end of the run
 }
 
 func newAgentMetrics() *agentMetrics {
@@ -69,7 +70,7 @@
 	return &agentMetrics{
 		all: all, started: s.Counter("starts_taken"), refused: s.Counter("starts_refused"),
 		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), orphaned: s.Counter("runs_orphaned"),
-		startTime: s.Histogram("start_seconds", latencyBuckets),
+		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
 	}
 }
 
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -72,7 +72,7 @@
 		r := g.runs[ref]
 		s := g.homes[r.entry]
 		if r.stopRequestedAt.IsZero() && now.Sub(s.lastContact) > g.maxSilence(r) {
-			g.stop(now, r)
+			g.stop(now, r, stopNoContact)
 			stopped = append(stopped, r.start.Run)
 		}
 	}
--- a/worker/order.go
+++ b/worker/order.go
@@ -8,10 +8,11 @@
 
 // Order is a call to the worker that the agent must make.
 type Order struct {
-	Stop  bool
-	Start work.Start // a stop sets only Run
-	Token uint64
-	Until time.Duration // end of the lease, on the worker's clock
+	Stop   bool
+	Start  work.Start // a stop sets only Run
+	Token  uint64
+	Until  time.Duration // end of the lease, on the worker's clock
+	Reason string        // of a stop
 }
 
 // Order takes starts and stops from an entry. Starts that are refused produce
@@ -20,7 +21,7 @@
 	g.RecordContact(entry, echo)
 	for _, r := range stops {
 		if known, ok := g.runs[r.Task]; ok && known.start.Run == r {
-			g.stop(now, known)
+			g.stop(now, known, stopOrdered)
 		}
 	}
 	for _, s := range starts {
@@ -66,16 +67,6 @@
 	g.orders = append(g.orders, Order{Start: r.start, Token: g.token, Until: g.LeaseUntil(now)})
 }
 
-func (g *Guard) stop(now time.Time, r *run) {
-	if r.phase == ordered || r.phase == unclear {
-		// The answer to the start decides first; a later poll repeats the stop.
-		r.stopRequestedAt = now
-		return
-	}
-	r.phase, r.stopRequestedAt = stopping, now
-	g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r.start.Run}, Token: g.token})
-}
-
 // Take returns the orders to carry out now.
 func (g *Guard) Take() []Order {
 	o := g.orders
@@ -94,7 +85,7 @@
 	case reason == "":
 		known.phase = running
 		if !known.stopRequestedAt.IsZero() {
-			g.stop(now, known)
+			g.stop(now, known, stopRepeated)
 		}
 	case tokenRejected && known.token < g.token && known.stopRequestedAt.IsZero():
 		g.sendStart(now, known)
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -93,7 +93,7 @@
 		known, ok := g.runs[r.Task]
 		if !ok || known.start.Run != r {
 			g.settled = false
-			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token})
+			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token, Reason: stopUnknown})
 			continue
 		}
 		g.updateProgress(now, known, snapshot.Running[r])
@@ -104,7 +104,7 @@
 			known.phase = running
 		}
 		if !known.stopRequestedAt.IsZero() && known.phase != ordered && now.Sub(known.stopRequestedAt) > stopRetryInterval {
-			g.stop(now, known)
+			g.stop(now, known, stopRepeated)
 		}
 	}
 	for _, ref := range g.sortedTasks() {
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -133,7 +133,7 @@
 		if r := g.runs[ref]; r.start.Stored {
 			hasStored = true
 			if r.stopRequestedAt.IsZero() {
-				g.stop(now, r)
+				g.stop(now, r, stopNoHolder)
 			}
 		}
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -76,6 +76,8 @@
 	token           uint64        // with which its start was last sent
 	orderedAt       time.Time     // first start order
 	stopRequestedAt time.Time     // last stop request
+	firstStopAt     time.Time     // first stop request
+	stopReason      string        // of the first stop request
 	percent         int           // progress at the last poll
 	checkpoint      string        // last checkpoint; empty if there is none
 	lastProgress    time.Time     // last poll that showed progress
@@ -104,8 +106,9 @@
 	runs             map[work.TaskRef]*run
 	homes            map[string]*homeState
 	orders           []Order
-	startedAt        time.Time // when this Guard got its first message
-	holder           string    // entry that holds the tenure
+	stopped          []StoppedRun // not taken yet
+	startedAt        time.Time    // when this Guard got its first message
+	holder           string       // entry that holds the tenure
 	tenure           Tenure
 	uncommitted      []uint64  // ends that the worker must retain until they are committed to the ledger
 	mayListInherited bool      // listed ends may come from an earlier incarnation of the agent
@@ -251,6 +254,7 @@
 func (g *Guard) finishListed(now time.Time, ref work.TaskRef, endNumber uint64, end work.End, reason string) {
 	r := g.runs[ref]
 	delete(g.runs, ref)
+	g.recordStopped(now, r, end)
 	e := Event{Run: r.start.Run, End: end, Reason: reason, Took: now.Sub(r.orderedAt), Stored: r.start.Stored, Checkpoint: r.checkpoint}
 	if e.Stored && endNumber > 0 && (end == work.Done || end == work.Failed) {
 		e.endNumber = endNumber
