Withhold the lease while a run goes on after its permission

While a worker does not carry out a stop, its agent repeats it every 100 ms and goes on renewing the lease, which keeps the run alive beyond the time after which homes, entries and callers assume its end.

Change: worker.Config.StopTime. The lease is not renewed while a run (not of a stored job) goes on longer than StopTime after its first stop request, or its home was last in contact more than EntryContactTimeout+StopTime ago, or the worker lists runs unknown to the agent for longer than StopTime. Meanwhile starts are refused as unready, rejected starts are not sent again, and the worker is reported as not ready. If the lease expires meanwhile, ends of stored jobs that are not committed lapse. A StopTime of zero, which is still what site sets, changes nothing. The agent logs "lease withheld: a run goes on after its stop" and "lease renewed again".

The tests of a whole fleet were not run: StopTime is not set yet.

--- a/schedule/report.go
+++ b/schedule/report.go
@@ -40,7 +40,7 @@
 	_, others := g.Used(home)
 	return Report{
 		Epoch:  g.Epoch(),
-		Target: t, Ready: serves && !g.OutOfContact() && !g.RenewalPaused(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
+		Target: t, Ready: serves && !g.OutOfContact() && !g.RenewalPaused() && !g.LeaseWithheld(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
 		Pace: g.Pace(), Idle: g.StalledRuns(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
 }
--- a/site/agent.go
+++ b/site/agent.go
@@ -56,6 +56,7 @@
 	eventsReady   chan struct{}     // closed and replaced when there are events for homes
 	lastOrders    map[string]uint64 // by incarnation of a home: number of its last order taken
 	workerDown    bool              // the worker was logged as not answering
+	leaseWithheld bool              // the lease was logged as withheld
 	targetVersion uint64            // version of the worker's description
 	lastAnswered  time.Time         // when an entry last answered an announcement
 }
--- a/site/agent_orders.go
+++ b/site/agent_orders.go
@@ -19,6 +19,23 @@
 		}
 	}
 	a.reportStopped()
+	a.reportLease()
+}
+
+// reportLease logs when the lease is withheld or renewed again, and tells the homes. The
+// caller holds mu.
+func (a *Agent) reportLease() {
+	withheld := a.guard.LeaseWithheld()
+	if withheld == a.leaseWithheld {
+		return
+	}
+	a.leaseWithheld = withheld
+	a.signalEvents()
+	if withheld {
+		a.log.Warn().Int("runs", a.guard.Running()).Msg("lease withheld: a run goes on after its stop")
+		return
+	}
+	a.log.Info().Int("runs", a.guard.Running()).Msg("lease renewed again")
 }
 
 // reportStopped logs how long the runs that were stopped went on. The caller holds mu.
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -78,6 +78,7 @@
 	}
 	g.expireOutOfContact(now)
 	g.resumeRenewal(now)
+	g.updateWithheld(now)
 	for name, s := range g.homes {
 		if now.Sub(s.lastContact) > g.cfg.EventRetention && !g.hasRuns(name) {
 			delete(g.homes, name)
--- a/worker/order.go
+++ b/worker/order.go
@@ -37,7 +37,7 @@
 
 // The reasons for which an agent itself refuses a start.
 const (
-	Unready   = "unready"   // the worker is unknown, draining or out of contact
+	Unready   = "unready"   // the worker is unknown, draining, out of contact or without renewal of its lease
 	Untenured = "untenured" // the agent does not know the entry as holder of the ledger
 	StaleEcho = "staleEcho" // the order may have been in transit for too long
 	Occupied  = "occupied"  // another run of the task has not ended here
@@ -48,7 +48,7 @@
 	all, _ := g.Used("")
 	_, occupied := g.runs[s.Run.Task]
 	switch {
-	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.renewalPausedAt.IsZero():
+	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
 		return Unready
 	case s.Stored && !g.holdsTenure(now, entry):
 		return Untenured
@@ -87,7 +87,7 @@
 		if !known.stopRequestedAt.IsZero() {
 			g.stop(now, known, stopRepeated)
 		}
-	case tokenRejected && known.token < g.token && known.stopRequestedAt.IsZero():
+	case tokenRejected && known.token < g.token && known.stopRequestedAt.IsZero() && !g.hasOverdueRun(now):
 		g.sendStart(now, known)
 	default:
 		if tokenRejected {
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -84,6 +84,7 @@
 	}
 	g.reconcile(now, snapshot)
 	g.resumeRenewal(now)
+	g.updateWithheld(now)
 }
 
 // reconcile compares the runs with those that the worker listed, and stops unknown ones.
@@ -107,6 +108,7 @@
 			g.stop(now, known, stopRepeated)
 		}
 	}
+	g.updateUnsettled(now)
 	for _, ref := range g.sortedTasks() {
 		known := g.runs[ref]
 		if known.phase != unclear || known.token >= snapshot.Token {
--- /dev/null
+++ b/worker/withhold_test.go
@@ -0,0 +1,164 @@
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/schedule"
+	"masticbay/work"
+	"masticbay/worker"
+)
+
+const stopTime = 150 * time.Millisecond
+
+// newDriverWithStopTime returns a driver whose Guard withholds the lease after stopTime.
+func newDriverWithStopTime(t *testing.T) *driver {
+	d := newDriver(t)
+	c := cfg
+	c.StopTime = stopTime
+	d.g = worker.NewGuard(c)
+	d.sendHeartbeat(false)
+	d.g.ApplyTenure(d.now, "e1", worker.Tenure{Vacant: true})
+	d.answerPoll(0)
+	d.applyTenure("e1", 1)
+	return d
+}
+
+// wantRenewed checks whether the lease is renewed, and whether the report says so.
+func (d *driver) wantRenewed(want bool) {
+	d.t.Helper()
+	if until := d.g.LeaseUntil(d.now); until != 0 != want {
+		d.t.Errorf("lease until %v, want it renewed: %t", until, want)
+	}
+	if report := schedule.ReportOf(d.g, "e1", 0); report.Ready != want {
+		d.t.Errorf("reported as ready: %t, want %t", report.Ready, want)
+	}
+}
+
+// TestLateStopIsNotOutlastedByRenewal guards against a run that goes on because the lease is
+// renewed while its stop is not carried out.
+func TestLateStopIsNotOutlastedByRenewal(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.startRunning(0, 1)
+	d.orderStop(run(0, 1))
+	for range 3 { // repeated stops do not extend the time
+		d.advance(stopTime / 3)
+		d.g.RecordContact("e1", d.now)
+		d.answerPoll(10, run(0, 1))
+	}
+	d.wantRenewed(true)
+	d.advance(time.Millisecond)
+	d.wantRenewed(false)
+	d.advance(cfg.Lease / 2)
+	d.g.RecordContact("e1", d.now)
+	d.answerPoll(20, run(0, 1))
+	d.wantRenewed(false)
+	d.answerPollWithEnd(work.Stopped, run(0, 1))
+	d.wantRenewed(true)
+	d.g.Take()
+	if n := len(d.order(start(1, 1, 10))); n != 1 {
+		t.Errorf("%d starts sent after the run ended, want 1", n)
+	}
+}
+
+// TestLostContactIsNotOutlastedByRenewal guards against an agent that renews the lease after a
+// pause, before it has stopped the runs of a home that is out of contact.
+func TestLostContactIsNotOutlastedByRenewal(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.startRunning(0, 1)
+	d.advance(cfg.EntryContactTimeout + stopTime)
+	d.wantRenewed(true)
+	d.advance(time.Millisecond)
+	d.wantRenewed(false)
+	d.answerPollWithEnd(work.Lapsed, run(0, 1))
+	d.wantRenewed(true)
+}
+
+// TestUnknownRunIsNotOutlastedByRenewal guards against a run of an earlier incarnation of the
+// agent that goes on because the lease is renewed while its stop is not carried out.
+func TestUnknownRunIsNotOutlastedByRenewal(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.answerPoll(10, run(0, 1))
+	d.advance(stopTime)
+	d.answerPoll(10, run(0, 1))
+	d.wantRenewed(true)
+	d.advance(time.Millisecond)
+	d.wantRenewed(false)
+	d.answerPoll(0)
+	d.wantRenewed(true)
+}
+
+func TestStopInTimeDoesNotWithholdTheLease(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.startRunning(0, 1)
+	d.orderStop(run(0, 1))
+	d.advance(stopTime)
+	d.wantRenewed(true)
+	d.answerPollWithEnd(work.Stopped, run(0, 1))
+	d.advance(stopTime)
+	d.wantRenewed(true)
+}
+
+// A start carries a lease, which would extend that of the run to stop.
+func TestNothingStartsWhileTheLeaseIsWithheld(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.startRunning(0, 1)
+	d.order(start(1, 1, 10), start(2, 1, 10))
+	d.g.Unanswered(run(2, 1)) // raises the token
+	d.orderStop(run(0, 1))
+	d.g.Take()
+	d.advance(stopTime + time.Millisecond)
+	d.g.RecordContact("e1", d.now)
+	if n := len(d.order(start(3, 1, 10))); n != 0 {
+		t.Errorf("%d starts sent, want none", n)
+	}
+	if e := d.lastEvent(work.Refused); e.Reason != worker.Unready {
+		t.Errorf("refused with reason %q, want %q", e.Reason, worker.Unready)
+	}
+	d.g.Started(d.now, run(1, 1), "fence", true)
+	if orders := d.g.Take(); len(orders) != 0 {
+		t.Errorf("sent again: %+v", orders)
+	}
+	if e := d.lastEvent(work.Refused); e.Run != run(1, 1) {
+		t.Errorf("refused %v, want %v", e.Run, run(1, 1))
+	}
+}
+
+// TestStoredEndsLapseWithTheWithheldLease guards against an end of a stored job that is
+// reported as done although the worker's lease has expired before it was committed.
+func TestStoredEndsLapseWithTheWithheldLease(t *testing.T) {
+	for _, withheldFor := range []time.Duration{cfg.Lease / 2, 2 * cfg.Lease} {
+		d := newDriverWithStopTime(t)
+		d.order(storedStart(0, 1))
+		d.g.Started(d.now, run(0, 1), "", false)
+		d.startRunning(1, 1)
+		d.wantRenewed(true)
+		d.answerPollWithEnd(work.Done, run(0, 1))
+		d.orderStop(run(1, 1))
+		d.advance(stopTime + time.Millisecond)
+		d.wantRenewed(false)
+		d.advance(withheldFor)
+		d.applyTenure("e1", 1)
+		d.answerPollWithEnd(work.Stopped, run(1, 1))
+		d.wantRenewed(true)
+		want, acked := work.Done, uint64(0)
+		if withheldFor > cfg.Lease {
+			want, acked = work.Lapsed, 2
+		}
+		if e := d.g.Events("e1", 0)[0]; e.Run != run(0, 1) || e.End != want {
+			t.Errorf("withheld for %v: event %+v, want %s", withheldFor, e, want)
+		}
+		if got := d.g.AckedEnd(); got != acked {
+			t.Errorf("withheld for %v: acknowledged end %d, want %d", withheldFor, got, acked)
+		}
+	}
+}
+
+func TestRunsOfStoredJobsDoNotWithholdTheLease(t *testing.T) {
+	d := newDriverWithStopTime(t)
+	d.order(storedStart(0, 1))
+	d.g.Started(d.now, run(0, 1), "", false)
+	d.orderStop(run(0, 1))
+	d.advance(stopTime + time.Millisecond)
+	d.wantRenewed(true)
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -7,7 +7,8 @@
 // when the agent does not renew the worker's lease in time, and the agent
 // stops a run when the entry that placed it has been out of contact. So a
 // process that loses contact knows after a bounded time that a run has ended,
-// whatever happened to the processes in between.
+// whatever happened to the processes in between. If a stop is not carried out
+// in time, the agent withholds the renewals until the run has ended.
 //
 // An order that was not answered may be carried out late. The agent then
 // raises its fencing token: once the worker has acknowledged the higher token,
@@ -57,6 +58,9 @@
 	WorkerContactTimeout time.Duration // time without an answered poll after which the worker gets no task
 	TenureMaxAge         time.Duration // how long a tenure is valid after its last confirmed renewal
 	StallAge             time.Duration // shortest time without progress after which a run is stalled
+	// StopTime is the time within which a worker carries out a stop. After it, the lease is
+	// not renewed while the run goes on. Zero means that the lease is renewed all the same.
+	StopTime time.Duration
 }
 
 // phase is the state of a run.
@@ -95,6 +99,7 @@
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
 	settled          bool      // the worker has no runs that this Guard did not order
+	unsettledSince   time.Time // first poll that showed such runs; zero if the last one showed none
 	token            uint64
 	tokenStep        uint64 // last increase of the token after consecutive rejections
 	ackedToken       uint64 // highest token that the worker acknowledged
@@ -113,6 +118,7 @@
 	uncommitted      []uint64  // ends that the worker must retain until they are committed to the ledger
 	mayListInherited bool      // listed ends may come from an earlier incarnation of the agent
 	renewalPausedAt  time.Time // since when the lease is not renewed; zero while it is renewed
+	withheld         bool      // the lease is not renewed, as a run goes on without permission
 }
 
 // NewGuard returns a Guard of a worker that has not sent a heartbeat yet.
@@ -176,6 +182,7 @@
 		return
 	}
 	g.target.Born = born
+	g.expireWithheld(now)
 	g.ackedToken, g.lastEnd, g.workerClock, g.maxLeaseUntil = 0, 0, 0, 0
 	g.updateClock(now, clock)
 	if len(g.runs) > 0 {
@@ -192,7 +199,7 @@
 		}
 	}
 	g.pace = Pace{}
-	g.settled = false // until a poll shows it
+	g.settled, g.unsettledSince = false, time.Time{} // until a poll shows it
 }
 
 func (g *Guard) updateClock(now time.Time, clock time.Duration) {
@@ -219,7 +226,8 @@
 // LeaseUntil returns the end of the lease, on the worker's clock, for a call that is
 // sent now. It returns 0 while the lease is not renewed.
 func (g *Guard) LeaseUntil(now time.Time) time.Duration {
-	if g.workerClock == 0 || !g.renewalPausedAt.IsZero() {
+	g.updateWithheld(now)
+	if g.workerClock == 0 || g.withheld || !g.renewalPausedAt.IsZero() {
 		return 0
 	}
 	until := g.workerClock + now.Sub(g.clockReadAt) + g.cfg.Lease
