Seal a job at an agent before another home runs it

The next home of a job assumes by its clock alone that the runs of the previous one have ended; no agent confirms it.

Change: worker.Guard.Seal takes the highest run number of the previous homes of a job. It stops the runs up to that number, whichever home placed them, refuses their starts as "sealed", and adds an event that ends as work.Sealed once none is left and a poll with a token has shown that the worker has no run unknown to the agent. Each request gets one event. A seal is forgotten after EventRetention, but not while it is not answered. Nothing calls Seal yet.

--- a/work/work.go
+++ b/work/work.go
@@ -201,6 +201,7 @@
 	Broken  End = "broken"  // another member of its gang ended
 	Alone   End = "alone"   // the other members of its gang did not start
 	Refused End = "refused" // proven not to have started
+	Sealed  End = "sealed"  // no earlier run of the job is left at the agent
 )
 
 // State is the state of a job.
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -84,6 +84,7 @@
 			delete(g.homes, name)
 		}
 	}
+	g.forgetSeals(now)
 	return stopped
 }
 
--- a/worker/order.go
+++ b/worker/order.go
@@ -42,12 +42,15 @@
 	StaleEcho = "staleEcho" // the order may have been in transit for too long
 	Occupied  = "occupied"  // another run of the task has not ended here
 	NoRoom    = "noRoom"
+	SealedJob = "sealed" // another home has the job
 )
 
 func (g *Guard) refusalReason(now time.Time, entry string, echo time.Time, s *work.Start) string {
 	all, _ := g.Used("")
 	_, occupied := g.runs[s.Run.Task]
 	switch {
+	case g.isSealed(s.Run):
+		return SealedJob
 	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
 		return Unready
 	case s.Stored && !g.holdsTenure(now, entry):
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -85,6 +85,7 @@
 	g.reconcile(now, snapshot)
 	g.resumeRenewal(now)
 	g.updateWithheld(now)
+	g.answerSeals()
 }
 
 // reconcile compares the runs with those that the worker listed, and stops unknown ones.
--- /dev/null
+++ b/worker/seal.go
@@ -0,0 +1,92 @@
+package worker
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// Seal demands that runs of the job numbered up to Below end and that none starts. The home
+// that gets a job from a lost one seals it, and numbers its own runs higher.
+type Seal struct {
+	Job   string
+	Below int
+}
+
+// sealState is the highest seal of a job.
+type sealState struct {
+	below    int
+	sealedAt time.Time // last request
+}
+
+// sealRequest is a seal that waits for the runs to end.
+type sealRequest struct {
+	entry string
+	seal  Seal
+}
+
+// covers reports whether the seal forbids a run.
+func (s Seal) covers(r work.Run) bool { return r.Task.Job == s.Job && r.Number <= s.Below }
+
+// Seal seals jobs for an entry. Each seal adds an event that ends as work.Sealed, with the
+// job and Below as its run, once no run that it covers is left. A run is left until its end
+// is proven, and runs that this Guard did not order may be of the job.
+func (g *Guard) Seal(now time.Time, entry string, seals []Seal) {
+	for _, s := range seals {
+		g.seals[s.Job] = sealState{below: max(s.Below, g.seals[s.Job].below), sealedAt: now}
+		for _, ref := range g.sortedTasks() {
+			if r := g.runs[ref]; s.covers(r.start.Run) && r.stopRequestedAt.IsZero() {
+				g.stop(now, r, stopSealed)
+			}
+		}
+		g.sealRequests = append(g.sealRequests, sealRequest{entry: entry, seal: s})
+	}
+	g.answerSeals()
+}
+
+// isSealed reports whether a run must not start since its job was sealed.
+func (g *Guard) isSealed(r work.Run) bool {
+	s, ok := g.seals[r.Task.Job]
+	return ok && r.Number <= s.below
+}
+
+// answerSeals adds the events of the requests that are fulfilled. An acknowledged token keeps
+// orders of an earlier incarnation of the agent from being carried out after the poll.
+func (g *Guard) answerSeals() {
+	if len(g.sealRequests) == 0 || !g.settled || g.ackedToken == 0 {
+		return
+	}
+	g.sealRequests = slices.DeleteFunc(g.sealRequests, func(q sealRequest) bool {
+		if g.hasRunOf(q.seal) {
+			return false
+		}
+		g.addEvent(q.entry, Event{Run: work.Run{Task: work.TaskRef{Job: q.seal.Job}, Number: q.seal.Below}, End: work.Sealed})
+		return true
+	})
+}
+
+// hasRunOf reports whether a run that a seal covers may be active.
+func (g *Guard) hasRunOf(s Seal) bool {
+	for _, r := range g.runs {
+		if s.covers(r.start.Run) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetSeals removes the requests of entries that were removed, and seals of which no
+// request is left after Config.EventRetention.
+func (g *Guard) forgetSeals(now time.Time) {
+	pending := make(map[string]bool)
+	g.sealRequests = slices.DeleteFunc(g.sealRequests, func(q sealRequest) bool {
+		_, ok := g.homes[q.entry]
+		pending[q.seal.Job] = pending[q.seal.Job] || ok
+		return !ok
+	})
+	maps.DeleteFunc(g.seals, func(job string, s sealState) bool {
+		return now.Sub(s.sealedAt) > g.cfg.EventRetention && !pending[job]
+	})
+}
--- a/worker/stop.go
+++ b/worker/stop.go
@@ -11,6 +11,7 @@
 	stopOrdered   = "ordered by its home"
 	stopNoContact = "its home is out of contact"
 	stopNoHolder  = "the ledger's holder is out of contact"
+	stopSealed    = "another home has the job"
 	stopUnknown   = "not known to this agent"
 	stopRepeated  = "repeated"
 )
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -111,9 +111,11 @@
 	runs             map[work.TaskRef]*run
 	homes            map[string]*homeState
 	orders           []Order
-	stopped          []StoppedRun // not taken yet
-	startedAt        time.Time    // when this Guard got its first message
-	holder           string       // entry that holds the tenure
+	seals            map[string]sealState // by job
+	sealRequests     []sealRequest        // not answered yet, in the order of their arrival
+	stopped          []StoppedRun         // not taken yet
+	startedAt        time.Time            // when this Guard got its first message
+	holder           string               // entry that holds the tenure
 	tenure           Tenure
 	uncommitted      []uint64  // ends that the worker must retain until they are committed to the ledger
 	mayListInherited bool      // listed ends may come from an earlier incarnation of the agent
@@ -123,7 +125,7 @@
 
 // NewGuard returns a Guard of a worker that has not sent a heartbeat yet.
 func NewGuard(cfg Config) *Guard {
-	return &Guard{cfg: cfg, runs: make(map[work.TaskRef]*run), homes: make(map[string]*homeState)}
+	return &Guard{cfg: cfg, runs: make(map[work.TaskRef]*run), homes: make(map[string]*homeState), seals: make(map[string]sealState)}
 }
 
 // Target returns the worker's description. It reports false while there is no
@@ -275,4 +277,5 @@
 		g.pace.add(now.Sub(r.orderedAt), r.start.Estimate)
 	}
 	g.addEvent(r.entry, e)
+	g.answerSeals()
 }
