Let a restarted agent start and renew nothing before earlier runs have ended

Change: the lease is renewed, starts are taken and a tenure is confirmed once a poll that fences earlier orders has shown no unknown run. The lease is computed from the least time that the worker's clock may have advanced: after 5 s without an answer it was 100 ms too long. Seals are kept for Config.SealRetention, since callers that submit again use low run numbers, and tell the former home why its run was stopped.

Shown by: TestRestartedAgentRenewsLeaseOfUnknownRuns, which replaces a test that a start before the first poll keeps its lease: no such start is taken any more. TestLeaseIsNotLongerWhenThePollsFail. Tests that begin with an agent that has not polled use newRestartedDriver; all others poll first.

--- a/worker/order.go
+++ b/worker/order.go
@@ -51,7 +51,7 @@
 	switch {
 	case g.isSealed(s.Run):
 		return SealedJob
-	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
+	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.settledOnce || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
 		return Unready
 	case s.Stored && !g.holdsTenure(now, entry):
 		return Untenured
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -109,6 +109,7 @@
 			g.stop(now, known, stopRepeated)
 		}
 	}
+	g.settledOnce = g.settledOnce || g.settled && snapshot.Token > 0
 	g.updateUnsettled(now)
 	for _, ref := range g.sortedTasks() {
 		known := g.runs[ref]
--- a/worker/seal.go
+++ b/worker/seal.go
@@ -52,10 +52,9 @@
 	return ok && r.Number <= s.below
 }
 
-// answerSeals adds the events of the requests that are fulfilled. An acknowledged token keeps
-// orders of an earlier incarnation of the agent from being carried out after the poll.
+// answerSeals adds the events of the requests that are fulfilled.
 func (g *Guard) answerSeals() {
-	if len(g.sealRequests) == 0 || !g.settled || g.ackedToken == 0 {
+	if len(g.sealRequests) == 0 || !g.settled || !g.settledOnce {
 		return
 	}
 	g.sealRequests = slices.DeleteFunc(g.sealRequests, func(q sealRequest) bool {
@@ -78,7 +77,7 @@
 }
 
 // forgetSeals removes the requests of entries that were removed, and seals of which no
-// request is left after Config.EventRetention.
+// request is left after Config.SealRetention.
 func (g *Guard) forgetSeals(now time.Time) {
 	pending := make(map[string]bool)
 	g.sealRequests = slices.DeleteFunc(g.sealRequests, func(q sealRequest) bool {
@@ -87,6 +86,6 @@
 		return !ok
 	})
 	maps.DeleteFunc(g.seals, func(job string, s sealState) bool {
-		return now.Sub(s.sealedAt) > g.cfg.EventRetention && !pending[job]
+		return now.Sub(s.sealedAt) > g.cfg.SealRetention && !pending[job]
 	})
 }
--- a/worker/seal_test.go
+++ b/worker/seal_test.go
@@ -148,7 +148,7 @@
 // TestUnsettledAgentAnswersNoSeal guards against a restarted agent that answers a seal while
 // a run of its earlier incarnation goes on.
 func TestUnsettledAgentAnswersNoSeal(t *testing.T) {
-	d := newDriver(t)
+	d := newRestartedDriver(t)
 	d.seal(1000)
 	d.wantSealed()
 	d.answerPoll(10, run(0, 1))
@@ -160,7 +160,7 @@
 // TestSealNeedsAnAcknowledgedToken guards against a seal that is answered after a poll that
 // does not keep the worker from carrying out orders of an earlier incarnation of the agent.
 func TestSealNeedsAnAcknowledgedToken(t *testing.T) {
-	d := newDriver(t)
+	d := newRestartedDriver(t)
 	d.g = worker.NewGuard(cfg)
 	d.answerPoll(0) // sent before the first heartbeat
 	d.seal(1000)
@@ -191,12 +191,12 @@
 	d.wantSealed(1000, 1000)
 }
 
-func TestSealsAreForgottenAfterEventRetention(t *testing.T) {
+func TestSealsAreForgottenAfterSealRetention(t *testing.T) {
 	d := newSettledDriver(t)
 	d.startRunning(0, 1)
 	d.seal(1000)
 	tick := func() {
-		d.advance(cfg.EventRetention + time.Millisecond)
+		d.advance(cfg.SealRetention + time.Millisecond)
 		d.g.RecordContact("e1", d.now)
 		d.g.RecordContact("e2", d.now)
 		d.g.Tick(d.now)
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -63,9 +63,10 @@
 }
 
 // Epoch returns the epoch of the tenure that the Guard accepts; 0 while the lease
-// of the worker has to expire, since no task can be started then.
+// of the worker has to expire, since no task can be started then, and before it is known
+// that no run of an earlier incarnation of the agent is left.
 func (g *Guard) Epoch() uint64 {
-	if !g.renewalPausedAt.IsZero() {
+	if !g.renewalPausedAt.IsZero() || !g.settledOnce {
 		return 0
 	}
 	return g.tenure.Epoch
--- a/worker/tenure_test.go
+++ b/worker/tenure_test.go
@@ -117,7 +117,7 @@
 // The ends that a restarted agent finds may be of stored jobs and not committed.
 func TestRestartedAgentRetainsInheritedEnds(t *testing.T) {
 	newDriverWithEnd := func(t *testing.T) *driver {
-		d := newDriver(t)
+		d := newRestartedDriver(t)
 		d.answerPollWithEnd(work.Done, run(0, 1))
 		if d.g.AckedEnd() != 0 || d.g.LeaseUntil(d.now) != 0 {
 			t.Fatalf("acknowledged end %d, lease until %v", d.g.AckedEnd(), d.g.LeaseUntil(d.now))
@@ -147,14 +147,49 @@
 	})
 }
 
-// TestRunOrderedBeforeTheFirstPollKeepsItsLease guards against a start that comes
-// before the first poll and is taken for a run of an earlier incarnation.
-func TestRunOrderedBeforeTheFirstPollKeepsItsLease(t *testing.T) {
+// TestRestartedAgentRenewsLeaseOfUnknownRuns guards against a double run: an agent that has
+// restarted renews the lease of a run that its earlier incarnation started.
+func TestRestartedAgentRenewsLeaseOfUnknownRuns(t *testing.T) {
+	for _, vacant := range []bool{false, true} {
+		d := newRestartedDriver(t)
+		d.wantNoLease("before the first poll")
+		d.answerPoll(5, run(0, 1))
+		if vacant {
+			d.g.ApplyTenure(d.now, "e1", worker.Tenure{Vacant: true})
+		}
+		d.g.Take()
+		d.advance(200 * time.Millisecond)
+		d.answerPoll(10, run(0, 1))
+		d.wantNoLease("while the run goes on")
+		if d.g.Epoch() != 0 {
+			t.Errorf("epoch %d, want 0", d.g.Epoch())
+		}
+		d.advance(cfg.LongestLease + 100*time.Millisecond)
+		d.answerPoll(0)
+		if d.g.LeaseUntil(d.now) == 0 {
+			t.Error("the lease is not renewed after the run has ended")
+		}
+	}
+}
+
+// wantNoLease checks that the lease is not renewed and no start is sent.
+func (d *driver) wantNoLease(when string) {
+	d.t.Helper()
+	if until := d.g.LeaseUntil(d.now); until != 0 {
+		d.t.Errorf("lease until %v %s, want none", until, when)
+	}
+	for _, o := range d.order(start(1, 1, 10)) {
+		if !o.Stop {
+			d.t.Errorf("a start was sent %s", when)
+		}
+	}
+}
+
+func TestLeaseIsNotLongerWhenThePollsFail(t *testing.T) {
 	d := newDriver(t)
-	d.order(start(0, 1, 10))
-	d.advance(10 * time.Millisecond)
-	d.answerPoll(5, run(0, 1))
-	if d.g.RenewalPaused() {
-		t.Error("the lease is not renewed, want it renewed")
+	before := d.g.LeaseUntil(d.now)
+	d.now = d.now.Add(5 * time.Second)
+	if slow := time.Duration(float64(5*time.Second) * 0.98); d.g.LeaseUntil(d.now) > before+slow {
+		t.Errorf("the lease ends at %v, later than %v on a clock that is 2%% slow", d.g.LeaseUntil(d.now), before+slow)
 	}
 }
--- a/worker/withhold.go
+++ b/worker/withhold.go
@@ -63,5 +63,5 @@
 }
 
 // LeaseWithheld reports whether the lease is not renewed because a run goes on without
-// permission. The worker gets no task then.
-func (g *Guard) LeaseWithheld() bool { return g.withheld }
+// permission, or may do so that an earlier incarnation of the agent ordered. The worker gets no task then.
+func (g *Guard) LeaseWithheld() bool { return g.withheld || !g.settledOnce }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -55,6 +55,7 @@
 	HolderContactTimeout time.Duration // longest time without contact to the ledger's holder before runs of stored jobs are stopped
 	OrderMaxAge          time.Duration // highest age of the echo of an order that is accepted
 	EventRetention       time.Duration // how long the events of an entry out of contact are retained
+	SealRetention        time.Duration // how long starts of a sealed job are refused; a lost home orders none after it
 	WorkerContactTimeout time.Duration // time without an answered poll after which the worker gets no task
 	TenureMaxAge         time.Duration // how long a tenure is valid after its last confirmed renewal
 	StallAge             time.Duration // shortest time without progress after which a run is stalled
@@ -99,6 +100,7 @@
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
 	settled          bool      // the worker has no runs that this Guard did not order
+	settledOnce      bool      // settled was true after a poll that fences the orders of earlier incarnations of the agent
 	unsettledSince   time.Time // first poll that showed such runs; zero if the last one showed none
 	token            uint64
 	tokenStep        uint64 // last increase of the token after consecutive rejections
@@ -229,10 +231,11 @@
 // sent now. It returns 0 while the lease is not renewed.
 func (g *Guard) LeaseUntil(now time.Time) time.Duration {
 	g.updateWithheld(now)
-	if g.workerClock == 0 || g.withheld || !g.renewalPausedAt.IsZero() {
+	if g.workerClock == 0 || !g.settledOnce || g.withheld || !g.renewalPausedAt.IsZero() {
 		return 0
 	}
-	until := g.workerClock + now.Sub(g.clockReadAt) + g.cfg.Lease
+	elapsed := time.Duration(float64(now.Sub(g.clockReadAt)) / maxClockDrift) // a fast estimate would lengthen the lease
+	until := g.workerClock + elapsed + g.cfg.Lease
 	g.maxLeaseUntil = max(g.maxLeaseUntil, until)
 	return until
 }
@@ -273,6 +276,9 @@
 			e.markLapsed()
 		}
 	}
+	if end == work.Stopped && r.stopReason == stopSealed {
+		e.Reason = SealedJob
+	}
 	if end == work.Done {
 		g.pace.add(now.Sub(r.orderedAt), r.start.Estimate)
 	}
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -10,7 +10,7 @@
 
 var cfg = worker.Config{
 	Lease: 800 * time.Millisecond, EntryContactTimeout: 450 * time.Millisecond, HolderContactTimeout: 750 * time.Millisecond, OrderMaxAge: 400 * time.Millisecond,
-	LongestLease: time.Second, TenureMaxAge: 5 * time.Second, EventRetention: 30 * time.Second, WorkerContactTimeout: 250 * time.Millisecond, StallAge: 150 * time.Millisecond,
+	LongestLease: time.Second, TenureMaxAge: 5 * time.Second, EventRetention: 30 * time.Second, SealRetention: time.Second, WorkerContactTimeout: 250 * time.Millisecond, StallAge: 150 * time.Millisecond,
 }
 
 // driver simulates a worker and an entry around a Guard.
@@ -24,6 +24,14 @@
 }
 
 func newDriver(t *testing.T) *driver {
+	d := newRestartedDriver(t)
+	d.answerPoll(0)
+	return d
+}
+
+// newRestartedDriver returns a driver of a Guard that has not polled its worker, which may
+// have runs of an earlier incarnation of the agent.
+func newRestartedDriver(t *testing.T) *driver {
 	d := &driver{t: t, g: worker.NewGuard(cfg), now: time.Unix(1000, 0), clock: 5 * time.Second, born: 7}
 	d.sendHeartbeat(false)
 	return d
