--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -80,6 +80,11 @@
 	}},
 	{"orders late", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(3 * time.Second) }},
 	{"orders never carried out", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(0) }},
+	{"stops late", 0.85, func(s *fleet) { s.delayStops(3*time.Second, 2500*time.Millisecond) }},
+	{"entries refuse the home", 0.85, func(s *fleet) {
+		s.refuseHome(s.home(), 2*time.Second)
+		time.Sleep(2 * time.Second)
+	}},
 	{"open connections silent", 0.85, func(s *fleet) { s.network.blackholeOpenConns() }},
 	{"connections of the home reset", 0.99, func(s *fleet) {
 		for range 3 {
@@ -232,6 +237,18 @@
 	}
 }
 
+// delayStops makes all workers leave the orders to stop a run unanswered for a while
+// and execute each of them after a delay.
+func (s *fleet) delayStops(duration, executeAfter time.Duration) {
+	for _, w := range s.workers {
+		w.SetFaults(standin.WorkerFaults{StopsUnanswered: true, ExecuteAfter: executeAfter})
+	}
+	time.Sleep(duration)
+	for _, w := range s.workers {
+		w.SetFaults(standin.WorkerFaults{})
+	}
+}
+
 // TestCellWithoutWorkersHandsJobsOn kills all agents but one, so that a cell has none.
 // Its home must hand jobs to the other cell at once.
 func TestCellWithoutWorkersHandsJobsOn(t *testing.T) {
--- a/failure/fleet_pairs_test.go
+++ b/failure/fleet_pairs_test.go
@@ -36,6 +36,7 @@
 	for _, p := range pairs[:min(*pairsFlag, len(pairs))] {
 		t.Run(p[0].name+"+"+p[1].name, func(t *testing.T) {
 			runWithFleet(t, func(_ *testing.T, s *fleet) {
+				s.lateJobs = true
 				var faults sync.WaitGroup
 				for i, f := range p {
 					faults.Go(func() {
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -60,7 +60,8 @@
 	stop       context.CancelFunc
 	ctx        context.Context
 	goroutines sync.WaitGroup
-	cellSize   int // number of agents in a cell; the default if zero
+	cellSize   int  // number of agents in a cell; the default if zero
+	lateJobs   bool // whether a tenth of the load are late jobs
 
 	mu            sync.Mutex // guards what follows
 	entries       [fleetEntries]*daemon.Entry
@@ -113,10 +114,21 @@
 	return s
 }
 
+// lateDigit is the first digit of the IDs of late jobs, whose runs take lateFactor times
+// as long as estimated and outlast a failover.
+const (
+	lateDigit  = '7'
+	lateFactor = 4
+)
+
 // taskRunTime returns the run time of a task: the first digit of its job's ID, in
-// tenths of a second.
+// tenths of a second, or lateFactor times as much for a late job.
 func taskRunTime(task string, _ int) (time.Duration, bool) {
-	return time.Duration(task[0]-'0') * 100 * time.Millisecond, false
+	runTime := time.Duration(task[0]-'0') * 100 * time.Millisecond
+	if task[0] == lateDigit {
+		runTime *= lateFactor
+	}
+	return runTime, false
 }
 
 func (s *fleet) serve(address string, h http.Handler) {
@@ -212,7 +224,10 @@
 	for k := 0; k < int(duration/(25*time.Millisecond)); k++ {
 		queue, tasks := pingQueue, 4
 		id := fmt.Sprintf("1%015x", k)
-		if k%8 == 0 {
+		switch {
+		case s.lateJobs && k%10 == 5:
+			queue, tasks, id = longQueue, 1, fmt.Sprintf("%c%015x", lateDigit, k)
+		case k%8 == 0:
 			queue, tasks, id = longQueue, 2, fmt.Sprintf("9%015x", k)
 		}
 		callers.Go(func() { s.submit(entries[k%len(entries)], queue, id, tasks) })
