Let a poll decide on unanswered starts, not the end of the lease

Cause: agents that withhold the lease may let it expire while a start is not answered. The start can be held up between agent and worker and reach the worker after a restart, when its clock has begun anew and the lease in the order looks valid.

Change: the end of the lease ends runs that were known to run. An unanswered start waits for a poll with a higher token, as before.

--- a/worker/poll.go
+++ b/worker/poll.go
@@ -192,13 +192,17 @@
 	g.expireRuns(now)
 }
 
-// expireRuns ends all runs once their leases have expired without renewal.
+// expireRuns ends the runs once their leases have expired without renewal. A start that
+// was not answered may still reach a restarted worker, whose clock begins anew; a poll
+// decides on such runs.
 func (g *Guard) expireRuns(now time.Time) {
 	if len(g.runs) == 0 || g.workerClock == 0 || now.Before(g.leaseExpiry()) {
 		return
 	}
 	for _, ref := range g.sortedTasks() {
-		g.finish(now, ref, work.Lapsed, "worker does not answer")
+		if p := g.runs[ref].phase; p == running || p == stopping {
+			g.finish(now, ref, work.Lapsed, "worker does not answer")
+		}
 	}
 }
 
--- a/worker/withhold_test.go
+++ b/worker/withhold_test.go
@@ -162,3 +162,23 @@
 	d.advance(stopTime + time.Millisecond)
 	d.wantRenewed(true)
 }
+
+// TestUnansweredStartReachesRestartedWorker guards against a double run: a start that was
+// not answered counts as ended with the lease, and reaches the worker after its restart.
+func TestUnansweredStartReachesRestartedWorker(t *testing.T) {
+	d := newDriver(t)
+	d.order(start(0, 1, 10))
+	d.g.Unanswered(run(0, 1))
+	d.startRunning(1, 1)
+	d.advance(2 * time.Second)
+	d.g.PollFailed(d.now)
+	if events := d.g.Events("e1", 0); len(events) != 1 || events[0].Run != run(1, 1) {
+		t.Fatalf("events %+v, want the end of the run that was known to run", events)
+	}
+	d.born, d.clock = 9, time.Second
+	d.sendHeartbeat(false)
+	d.answerPoll(0)
+	if e := d.lastEvent(work.Lapsed); e.Run != run(0, 1) {
+		t.Errorf("run %v has ended, want %v", e.Run, run(0, 1))
+	}
+}
