--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -37,7 +37,7 @@
 	if isNew && now.After(c.startupUntil) {
 		delay = time.Duration(c.workAhead(j) / capacity.speed * float64(time.Millisecond))
 	}
-	if s := j.sealing; s != nil && !s.Complete {
+	if s := j.sealing; s != nil && (!s.Complete || s.Silent) {
 		delay = max(delay, s.RunsEndAt.Sub(now))
 	}
 	need := time.Duration(float64(c.chainTime(j))*capacity.minSlowness) + c.cfg.Margin
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -18,6 +18,9 @@
 // contact for so long that both leases of the run have expired. Only then may the
 // task start again.
 //
+// A job that another home may have started is placed once all agents have sealed it, so
+// that no earlier run of it is left; see Handover.
+//
 // Stored jobs outlive the home. Their tasks are placed only under a tenure: the
 // ledger holder's term, a lease with an epoch. A life is one incarnation of a
 // process.
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -18,6 +18,7 @@
 	RunNumberBase int       // highest number of a run that another home may have started
 	Agents        []string  // that may have got tasks from another home
 	Complete      bool      // no agent is missing in Agents
+	Silent        bool      // an agent is out of contact, so the job probably waits until RunsEndAt
 	RunsEndAt     time.Time // when the leases of all such runs have expired
 }
 
@@ -42,7 +43,11 @@
 		c.sealing = append(c.sealing, j)
 	}
 	for _, agent := range c.agentNames {
-		c.orderSeals(agent)
+		// The others are asked when they report, since an agent drops requests of homes
+		// that it is not in contact with.
+		if now.Sub(c.targets[agent].lastContact) <= c.cfg.SuspectAfter {
+			c.orderSeals(agent)
+		}
 	}
 	c.releaseSealed(now)
 }
@@ -57,16 +62,14 @@
 		if c.decisions.Seals == nil {
 			c.decisions.Seals = make(map[string][]worker.Seal)
 		}
-		c.decisions.Seals[agent] = append(c.decisions.Seals[agent], worker.Seal{Job: j.ID, Below: j.runNumberBase})
+		c.decisions.Seals[agent] = append(c.decisions.Seals[agent], worker.Seal{Job: j.ID, UpTo: j.runNumberBase})
 	}
 }
 
-// repeatSeals asks a new incarnation of an agent again.
-func (c *Core) repeatSeals(agent string) {
+// requireSeals has a new agent, or a new incarnation of one, seal all jobs that wait.
+func (c *Core) requireSeals(agent string) {
 	for _, j := range c.sealing {
-		if j.sealing.asked[agent] {
-			j.sealing.asked[agent] = false
-		}
+		j.sealing.asked[agent] = false
 	}
 }
 
--- a/schedule/handover_test.go
+++ b/schedule/handover_test.go
@@ -125,3 +125,16 @@
 	h.advance(100 * time.Millisecond)
 	h.wantStarts("a", 1)
 }
+
+// TestNewAgentStartsHandedOverJob guards against a double run: an agent that reports for the
+// first time after a job was handed over is not asked to seal it.
+func TestNewAgentStartsHandedOverJob(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.takeOver(job("j", 0, 1, 100*time.Millisecond), true, "a")
+	h.addAgent("new", 1)
+	h.seal("a", "j")
+	if len(h.seals["new"]) != 1 || len(h.starts["a"])+len(h.starts["new"]) != 0 {
+		t.Errorf("seals %v, starts %v; want a seal and no start", h.seals, h.starts)
+	}
+}
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -58,6 +58,7 @@
 		c.targets[agent] = t
 		c.agentNames = append(c.agentNames, agent)
 		slices.Sort(c.agentNames)
+		c.requireSeals(agent)
 	}
 	if t.life != r.Life {
 		if !r.Settled {
@@ -66,7 +67,7 @@
 		}
 		c.lapseRuns(now, t, "agent started anew", true)
 		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted = r.Life, 0, 0, nil
-		c.repeatSeals(agent)
+		c.requireSeals(agent)
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
--- a/site/agent.go
+++ b/site/agent.go
@@ -72,7 +72,7 @@
 		node: o.Node, log: o.Log, runLog: rateLimited(o.Log, o.RequestLines), clock: o.Clock, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
-		guard: worker.NewGuard(GuardConfig(o.Node)), eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64),
+		guard: worker.NewGuard(GuardConfig(o.Node)), leaseWithheld: true, eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64),
 	}
 	a.entries.add(a.now(), o.Node.Entries...)
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -118,6 +119,7 @@
 			e.log.Info().Str("agent", a).Msg("agent silent")
 		}
 	}
+	maps.DeleteFunc(e.lostAgents, func(_ string, lastAnnounced time.Time) bool { return now.Sub(lastAnnounced) > lostAgentRetention })
 	e.roster.SetAgents(len(e.agents))
 	switch onPanel := slices.Contains(e.roster.Panel(now), e.node.Internal); {
 	case !onPanel:
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -17,26 +17,26 @@
 // another one, which starts it once no run under the lost home is left.
 func (e *Entry) run(ctx context.Context, j work.Job, receivedAt time.Time) work.Outcome {
 	firstRun := 0
-	var lostAt time.Time // when the last home was lost that may have started the job
+	var lost lostHome
 	for {
 		if ctx.Err() != nil {
 			return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}
 		}
-		candidates := e.awaitCandidates(ctx, j.ID, !lostAt.IsZero())
+		candidates := e.awaitCandidates(ctx, j.ID, lost.any())
 		if len(candidates) == 0 {
-			return noHomeOutcome(!lostAt.IsZero())
+			return noHomeOutcome(lost.any())
 		}
-		out, home, result := e.runAtAny(ctx, candidates, j, firstRun, receivedAt, lostAt)
+		out, home, result := e.runAtAny(ctx, candidates, j, firstRun, receivedAt, &lost)
 		switch result {
 		case homeAnswered:
-			return truthful(out, !lostAt.IsZero())
+			return truthful(out, lost.any())
 		case homeUnreached:
 			sleep(ctx, homePollInterval)
 			continue
 		case callerGone:
 			return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}
 		}
-		lostAt = e.now()
+		lost = lostHome{at: e.now(), agents: max(lost.agents, home.Agents)}
 		e.metrics.jobsHomeLost.Inc(1)
 		e.requestLog.Warn().Str("job", j.ID).Str("home", home.Name).Msg("home lost with a job; waits for its runs to end")
 		e.homeLost(home)
@@ -45,6 +45,15 @@
 	}
 }
 
+// lostHome is what is known of the homes that were lost with a job. The zero value is for
+// a job whose homes are not lost.
+type lostHome struct {
+	at     time.Time // when the last one was lost
+	agents int       // largest number of agents that one was in contact with
+}
+
+func (l *lostHome) any() bool { return !l.at.IsZero() }
+
 // runResult tells how handing a job to homes went.
 type runResult int
 
@@ -57,16 +66,16 @@
 
 // runAtAny hands a job to the candidates in turn until one of them does not reject it.
 // It returns the outcome and the last home that was tried.
-func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt, lostAt time.Time) (out work.Outcome, home roster.Member, result runResult) {
+func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt time.Time, lost *lostHome) (out work.Outcome, home roster.Member, result runResult) {
 	result = homeUnreached
 	for i := range candidates {
 		home = candidates[i]
 		args := RunArgs{Entry: e.life, FirstRun: firstRun}
-		if !lostAt.IsZero() {
+		if lost.any() {
 			if !home.Seals {
-				sleep(ctx, runsOfLostHomeEndAfter-e.now().Sub(lostAt))
+				sleep(ctx, runsOfLostHomeEndAfter-e.now().Sub(lost.at))
 			}
-			args.LostFor = e.now().Sub(lostAt)
+			args.LostFor, args.LostAgents = e.now().Sub(lost.at), lost.agents
 		}
 		j.Age, j.Alternative = e.now().Sub(receivedAt), i < len(candidates)-1
 		args.Job = j
@@ -275,8 +284,11 @@
 	return false
 }
 
-// maxWithdrawals bounds how often a withdrawal is sent.
-const maxWithdrawals = 4
+// A withdrawal that is not answered is repeated.
+const (
+	maxWithdrawals     = 8
+	withdrawalInterval = 50 * time.Millisecond
+)
 
 // withdrawAt withdraws a job from a home, since no caller waits for it. The caller may
 // submit it again to another home, so the session ends if the home is lost meanwhile.
@@ -287,6 +299,7 @@
 			return
 		}
 		e.requestLog.Info().Err(err).Str("job", args.Job).Str("home", m.Name).Int("attempt", n+1).Msg("job not withdrawn")
+		sleep(e.ending, withdrawalInterval)
 	}
 	e.endSession(m.Address, args.Session)
 }
--- a/site/home.go
+++ b/site/home.go
@@ -281,7 +281,7 @@
 	h.siteAgents = all
 	if !isHome {
 		if running == 0 {
-			h.closeLinks(func(string) bool { return true })
+			h.closeLinks(func(a string) bool { return !h.core.AwaitsSeal(a) })
 		}
 		return
 	}
--- a/site/home_handover.go
+++ b/site/home_handover.go
@@ -10,32 +10,30 @@
 // that may run tasks of it. The caller holds mu.
 func (h *home) takeOver(args *RunArgs) {
 	now := h.e.now()
-	agents, complete := h.e.agentsSeen(now)
+	agents, complete, silent := h.e.agentsSeen(now, args.LostAgents)
 	for _, a := range agents {
 		if _, ok := h.links[a]; !ok {
 			h.links[a] = newLink(h, a)
 		}
 	}
 	h.core.TakeOver(now, args.Job, schedule.Handover{
-		RunNumberBase: args.FirstRun, Agents: agents, Complete: complete, RunsEndAt: now.Add(runsOfLostHomeEndAfter - args.LostFor),
+		RunNumberBase: args.FirstRun, Agents: agents, Complete: complete, Silent: silent, RunsEndAt: now.Add(runsOfLostHomeEndAfter - args.LostFor),
 	})
 }
 
-// agentsSeen returns the agents that have announced themselves within lostAgentRetention,
-// and whether none can be
-// missing: agents announce themselves to the panel.
-func (e *Entry) agentsSeen(now time.Time) (agents []string, complete bool) {
+// agentsSeen returns the agents that have announced themselves within lostAgentRetention.
+// The list is complete if this entry has been on the panel, to which agents announce
+// themselves, for long enough and is in contact with as many agents as the lost home was.
+// It is silent if some of these agents are out of contact.
+func (e *Entry) agentsSeen(now time.Time, ofLostHome int) (agents []string, complete, silent bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for a := range e.agents {
 		agents = append(agents, a)
 	}
-	for a, lastAnnounced := range e.lostAgents {
-		if now.Sub(lastAnnounced) > lostAgentRetention {
-			delete(e.lostAgents, a)
-			continue
-		}
+	for a := range e.lostAgents {
 		agents = append(agents, a)
 	}
-	return agents, !e.onPanelSince.IsZero() && now.Sub(e.onPanelSince) > agentContactTimeout
+	onPanel := !e.onPanelSince.IsZero() && now.Sub(e.onPanelSince) > agentContactTimeout
+	return agents, onPanel && len(e.agents) >= ofLostHome, len(e.lostAgents) > 0
 }
--- a/site/messages.go
+++ b/site/messages.go
@@ -101,7 +101,9 @@
 	Job      work.Job
 	FirstRun int           // runs of each task are numbered from FirstRun+1; above 0, another home may have started lower ones
 	LostFor  time.Duration // since the sender lost the home to which it handed the job before
-	Echo     time.Duration // the home's last stamp that the sender has
+	// LostAgents is the largest number of agents that such a home was in contact with.
+	LostAgents int
+	Echo       time.Duration // the home's last stamp that the sender has
 	// Home is the incarnation of the home that may have the job already; empty for a job
 	// that is handed over for the first time.
 	Home string
--- a/site/site.go
+++ b/site/site.go
@@ -55,7 +55,8 @@
 
 // The chain of leases. A run ends at the latest
 //   - stopRunsAfter after the last contact of its home with a working agent,
-//   - workerLease later if the agent has stopped working.
+//   - workerStopTime and workerLease later if the agent has stopped working or the worker
+//     does not carry out the stop.
 const (
 	workerLease             = 600 * time.Millisecond            // covers three lost polls
 	pollWait                = 100 * time.Millisecond            // a poll returns at the end of a run, or after this time
--- a/worker/seal.go
+++ b/worker/seal.go
@@ -8,16 +8,16 @@
 	"masticbay/work"
 )
 
-// Seal demands that runs of the job numbered up to Below end and that none starts. The home
+// Seal demands that runs of the job numbered up to UpTo end and that none starts. The home
 // that gets a job from a lost one seals it, and numbers its own runs higher.
 type Seal struct {
-	Job   string
-	Below int
+	Job  string
+	UpTo int
 }
 
 // sealState is the highest seal of a job.
 type sealState struct {
-	below    int
+	upTo     int
 	sealedAt time.Time // last request
 }
 
@@ -28,14 +28,14 @@
 }
 
 // covers reports whether the seal forbids a run.
-func (s Seal) covers(r work.Run) bool { return r.Task.Job == s.Job && r.Number <= s.Below }
+func (s Seal) covers(r work.Run) bool { return r.Task.Job == s.Job && r.Number <= s.UpTo }
 
 // Seal seals jobs for an entry. Each seal adds an event that ends as work.Sealed, with the
-// job and Below as its run, once no run that it covers is left. A run is left until its end
+// job and UpTo as its run, once no run that it covers is left. A run is left until its end
 // is proven, and runs that this Guard did not order may be of the job.
 func (g *Guard) Seal(now time.Time, entry string, seals []Seal) {
 	for _, s := range seals {
-		g.seals[s.Job] = sealState{below: max(s.Below, g.seals[s.Job].below), sealedAt: now}
+		g.seals[s.Job] = sealState{upTo: max(s.UpTo, g.seals[s.Job].upTo), sealedAt: now}
 		for _, ref := range g.sortedTasks() {
 			if r := g.runs[ref]; s.covers(r.start.Run) && r.stopRequestedAt.IsZero() {
 				g.stop(now, r, stopSealed)
@@ -49,7 +49,7 @@
 // isSealed reports whether a run must not start since its job was sealed.
 func (g *Guard) isSealed(r work.Run) bool {
 	s, ok := g.seals[r.Task.Job]
-	return ok && r.Number <= s.below
+	return ok && r.Number <= s.upTo
 }
 
 // answerSeals adds the events of the requests that are fulfilled.
@@ -61,7 +61,7 @@
 		if g.hasRunOf(q.seal) {
 			return false
 		}
-		g.addEvent(q.entry, Event{Run: work.Run{Task: work.TaskRef{Job: q.seal.Job}, Number: q.seal.Below}, End: work.Sealed})
+		g.addEvent(q.entry, Event{Run: work.Run{Task: work.TaskRef{Job: q.seal.Job}, Number: q.seal.UpTo}, End: work.Sealed})
 		return true
 	})
 }
--- a/worker/seal_test.go
+++ b/worker/seal_test.go
@@ -16,9 +16,9 @@
 }
 
 // seal seals the job for e2, the next home.
-func (d *driver) seal(below int) {
+func (d *driver) seal(upTo int) {
 	d.g.RecordContact("e2", d.now)
-	d.g.Seal(d.now, "e2", []worker.Seal{{Job: "j", Below: below}})
+	d.g.Seal(d.now, "e2", []worker.Seal{{Job: "j", UpTo: upTo}})
 }
 
 // wantSealed checks the numbers of the seals that were answered.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -15,6 +15,10 @@
 // it carries out no order with a lower one, and its list of runs is final for
 // those orders.
 //
+// While a stop is overdue, the agent withholds the lease of its worker, which ends the run
+// with the lease. A home that takes over a job from a lost home has the agent seal the job:
+// the agent ends its runs up to a number, and refuses to start such runs later.
+//
 // Tokens are derived from the worker's own clock, which only rises during an
 // incarnation of the worker. So they rise across restarts of the agent, which
 // stores nothing.
