Ask at most 64 agents to seal a job

Each home that took over a job asked all agents of the site, and the work grows with jobs times agents, in part with jobs squared. That this is what stopped the site is inferred, not traced.

Change: on larger sites, and where agents may be missing from the list, no agent is asked; a job starts when the leases have expired, and is rejected at once if that is too late.

--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -17,7 +17,7 @@
 type Handover struct {
 	RunNumberBase int       // highest number of a run that another home may have started
 	Agents        []string  // that may have got tasks from another home
-	Complete      bool      // no agent is missing in Agents
+	Complete      bool      // no agent is missing in Agents; otherwise none is asked
 	Silent        bool      // an agent is out of contact, so the job probably waits until RunsEndAt
 	RunsEndAt     time.Time // when the leases of all such runs have expired
 }
@@ -36,8 +36,10 @@
 func (c *Core) awaitSeals(now time.Time, j *job, h *Handover) {
 	j.runNumberBase = h.RunNumberBase
 	j.sealing = &sealing{Handover: *h, startedAt: now, asked: make(map[string]bool)}
-	for _, agent := range slices.Concat(h.Agents, c.agentNames) {
-		j.sealing.asked[agent] = false
+	if h.Complete {
+		for _, agent := range slices.Concat(h.Agents, c.agentNames) {
+			j.sealing.asked[agent] = false
+		}
 	}
 	if !slices.Contains(c.sealing, j) {
 		c.sealing = append(c.sealing, j)
@@ -69,7 +71,9 @@
 // requireSeals has a new agent, or a new incarnation of one, seal all jobs that wait.
 func (c *Core) requireSeals(agent string) {
 	for _, j := range c.sealing {
-		j.sealing.asked[agent] = false
+		if j.sealing.Complete {
+			j.sealing.asked[agent] = false
+		}
 	}
 }
 
--- a/site/home_handover.go
+++ b/site/home_handover.go
@@ -11,6 +11,9 @@
 func (h *home) takeOver(args *RunArgs) {
 	now := h.e.now()
 	agents, complete, silent := h.e.agentsSeen(now, args.LostAgents)
+	if len(agents) > maxSealingAgents {
+		agents, complete = nil, false
+	}
 	for _, a := range agents {
 		if _, ok := h.links[a]; !ok {
 			h.links[a] = newLink(h, a)
@@ -21,6 +24,10 @@
 	})
 }
 
+// maxSealingAgents bounds the number of agents that are asked to seal a job, since a lost
+// home may have had hundreds of jobs. On larger sites the leases decide.
+const maxSealingAgents = 64
+
 // agentsSeen returns the agents that have announced themselves within lostAgentRetention.
 // The list is complete if this entry has been on the panel, to which agents announce
 // themselves, for long enough and is in contact with as many agents as the lost home was.
