--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -200,10 +200,11 @@
 	cancelAfter    = 800 * time.Millisecond
 	freezeTime     = 4 * time.Second
 	handInAfter    = 2900 * time.Millisecond // the start of the freeze
+	quietTime      = 10 * time.Second        // contactMs, cancel_ms, stopMs and some more
 )
 
-// playCancel fills all machines but one with a job that lasts, and freezes that machine.
-// Jobs that wait for it are cancelled while it wakes up. No task of a cancelled job may go
+// playCancel fills all machines but one with a job that lasts, and freezes that machine,
+// which runs one task. Jobs that wait for it are cancelled while it wakes up. No task of a cancelled job may go
 // on.
 func playCancel(s *site, trouble bool) (violations []string, err error) {
 	const machines = 6
@@ -221,20 +222,14 @@
 	if !s.handIn(entries, id, b, work) {
 		return nil, fmt.Errorf("the first job was not accepted")
 	}
+	id, b, work = lastingJob(1<<20+1, 1, 1000)
+	b.Steps[0].RequiredLabel = "a"
+	if !s.handIn(entries, id, b, work) {
+		return nil, fmt.Errorf("the second job was not accepted")
+	}
 	time.Sleep(3 * time.Second)
-	cancelled := make(map[string]time.Time)
 	for round := range cancelRounds {
-		s.playCancelRound(round, trouble, cancelled)
-	}
-	s.rec.printf("%d jobs cancelled", len(cancelled))
-	time.Sleep(15 * time.Second)
-	for id, at := range cancelled {
-		for _, r := range s.world.runsOf(id) {
-			if r.Ended.IsZero() {
-				violations = append(violations, fmt.Sprintf("UNASKED: the cancelling of job %s was acknowledged at %s; %s#%d runs at %s since %s, and still %v after the acknowledgement",
-					id, s.rec.at(at), r.Task, r.Run, r.Worker, s.rec.at(r.Started), time.Since(at).Round(time.Second)))
-			}
-		}
+		violations = append(violations, s.playCancelRound(round, trouble)...)
 	}
 	return violations, nil
 }
@@ -243,12 +238,12 @@
 	return jobID(i), jobBody{Spec: fmt.Sprintf("lasting %d", i), LongRunning: true, Steps: []step{{Count: tasks, CPU: cpu, MemMB: 64}}}, jobWork{cpu: cpu, mem: 64}
 }
 
-// playCancelRound freezes the machine once and has the clients hand in their jobs. It adds
-// the times of the acknowledgements to cancelled, and cancels the remaining jobs at the
-// end.
-func (s *site) playCancelRound(round int, trouble bool, cancelled map[string]time.Time) {
+// playCancelRound freezes the machine once and has the clients hand in their jobs. Quiet
+// time after that, it looks for tasks of cancelled jobs that still run.
+func (s *site) playCancelRound(round int, trouble bool) (violations []string) {
 	var clients sync.WaitGroup
 	var mu sync.Mutex
+	cancelled := make(map[string]time.Time)
 	cancel := func(i int) {
 		if res := s.cancelJob(rotated(i)[0], jobID(i), 10*time.Second); res.Status == http.StatusOK || res.Status == http.StatusGone {
 			mu.Lock()
@@ -272,13 +267,22 @@
 		time.Sleep(3 * time.Millisecond)
 	}
 	clients.Wait()
-	time.Sleep(4 * time.Second)
+	time.Sleep(quietTime)
+	for id, at := range cancelled {
+		for _, r := range s.world.runsOf(id) {
+			if r.Ended.IsZero() {
+				violations = append(violations, fmt.Sprintf("UNASKED: the cancelling of job %s was acknowledged at %s; %s#%d runs at %s since %s, and still %v after the acknowledgement",
+					id, s.rec.at(at), r.Task, r.Run, r.Worker, s.rec.at(r.Started), time.Since(at).Round(time.Second)))
+			}
+		}
+	}
 	for i := first + leavingClients; i < first+leavingClients+stayingClients; i++ {
 		clients.Go(func() { cancel(i) })
 		time.Sleep(3 * time.Millisecond)
 	}
 	clients.Wait()
 	time.Sleep(2 * time.Second)
+	return violations
 }
 
 // playLabel runs a lasting job that needs a label which three of eleven executors have.
--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -18,6 +18,7 @@
 	EstRuntimeMs  int64  `json:"estRuntimeMs,omitempty"`
 	Gang          bool   `json:"gang,omitempty"`
 	RequiredLabel string `json:"requiredLabel,omitempty"`
+	After         []int  `json:"after,omitempty"`
 }
 
 // jobBody is a job, as clients send it.
@@ -25,6 +26,9 @@
 	Spec        string `json:"spec"`
 	Steps       []step `json:"steps"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	RunCount    int    `json:"runCount,omitempty"`
+	FirstRunMs  int64  `json:"firstRunMs,omitempty"`
+	IntervalMs  int64  `json:"intervalMs,omitempty"`
 }
 
 // result is the answer to a request. Status is 0 if there was none.
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -41,6 +41,7 @@
 	"cancel":   playCancel,
 	"label":    playLabel,
 	"manyends": playManyEnds,
+	"soak":     playSoak,
 }
 
 func main() { os.Exit(run()) }
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -19,6 +19,7 @@
 	events    []storeItem // history, which is kept whole
 	changed   chan struct{}
 	down      bool   // every call gets 503
+	lossy     bool   // some writes get no answer
 	lastActor string // process that last wrote under a condition
 }
 
@@ -190,6 +191,10 @@
 	}
 	conflicts, rev := s.apply(&b, process)
 	time.Sleep(storeAnswerTime / 2)
+	if s.losesAnswer() {
+		<-r.Context().Done()
+		return
+	}
 	if conflicts != nil {
 		answer(w, http.StatusPreconditionFailed, map[string]any{"items": conflicts})
 		return
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -92,6 +92,7 @@
 	endListed  chan struct{}
 	seq        uint64
 	muted      func(start int) bool // whether a start is carried out and not answered
+	down       bool                 // it has crashed
 	starts     int
 	startTimes []time.Duration // from the arrival of a start to the answer
 }
@@ -180,6 +181,10 @@
 		}
 		arrived := time.Now()
 		w.wd.mu.Lock()
+		if w.down {
+			w.wd.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		muted := false
 		if o.Spec != "" {
 			w.starts++
@@ -444,6 +449,10 @@
 
 func (w *worker) beatOnce(ctx context.Context, agent string) error {
 	w.wd.mu.Lock()
+	if w.down {
+		w.wd.mu.Unlock()
+		return nil
+	}
 	w.seq++
 	body, err := json.Marshal(map[string]any{
 		"service": w.service, "address": w.id, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
