--- a/review/driver/site.go
+++ b/review/driver/site.go
@@ -244,6 +244,21 @@
 	return s.start(name)
 }
 
+// restart stops a process as the platform does and starts it again.
+func (s *site) restart(name string) error {
+	s.mu.Lock()
+	ended := s.procs[name].ended
+	s.mu.Unlock()
+	s.signal(name, syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceTime):
+		s.signal(name, syscall.SIGKILL)
+		<-ended
+	}
+	return s.start(name)
+}
+
 // freezeFor freezes a process for a time.
 func (s *site) freezeFor(name string, d time.Duration) {
 	s.signal(name, syscall.SIGSTOP)
--- a/review/driver/soak.go
+++ b/review/driver/soak.go
@@ -31,6 +31,9 @@
 	concurrentFaults uint64 = 2
 )
 
+// isHeavy selects many short tasks.
+var isHeavy = os.Getenv("HEAVY") == "1"
+
 // playSoak hands in stored jobs of several kinds while processes, executors and the store
 // fail at random.
 func playSoak(s *site, trouble bool) (violations []string, err error) {
@@ -39,7 +42,7 @@
 		return nil, fmt.Errorf("SEED: %w", err)
 	}
 	s.setConfig(3)
-	if err := s.startAll(len(entries), 6, 16000, 32768, noLabels); err != nil {
+	if err := s.startAll(len(entries), 6, 32000, 65536, noLabels); err != nil {
 		return nil, err
 	}
 	rnd := rand.New(rand.NewPCG(seed, 1))
@@ -56,7 +59,11 @@
 		jobs = append(jobs, j)
 		first, cancelAfter := rnd.IntN(len(entries)), time.Duration(rnd.IntN(1500))*time.Millisecond
 		clients.Go(func() { s.playSoakJob(j, rotated(first), cancelAfter) })
-		time.Sleep(time.Duration(40+rnd.IntN(60)) * time.Millisecond)
+		pause := time.Duration(40+rnd.IntN(60)) * time.Millisecond
+		if isHeavy {
+			pause /= 4
+		}
+		time.Sleep(pause)
 	}
 	faults.Wait()
 	clients.Wait()
@@ -67,14 +74,20 @@
 
 func newSoakJob(rnd *rand.Rand, n int) *soakJob {
 	j := &soakJob{id: jobID(n), work: jobWork{cpu: 1000, mem: 16, runTime: time.Duration(50+rnd.IntN(250)) * time.Millisecond}}
+	width := 4
+	if isHeavy {
+		width, j.work.runTime = 30, time.Duration(30+rnd.IntN(60))*time.Millisecond
+	}
 	est := j.work.runTime.Milliseconds()
-	j.body = jobBody{Spec: fmt.Sprintf("job %d", n), Steps: []step{{Count: 1 + rnd.IntN(4), CPU: 1000, MemMB: 16, EstRuntimeMs: est}}}
+	j.body = jobBody{Spec: fmt.Sprintf("job %d", n), Steps: []step{{Count: 1 + rnd.IntN(width), CPU: 1000, MemMB: 16, EstRuntimeMs: est}}}
 	if rnd.IntN(3) == 0 {
 		j.body.Steps = append(j.body.Steps, step{Count: 1 + rnd.IntN(3), CPU: 1000, MemMB: 16, EstRuntimeMs: est, After: []int{0}})
 	}
 	switch rnd.IntN(10) {
 	case 0:
-		j.work.failRuns, j.work.failTime = 1, 40*time.Millisecond
+		if !isHeavy { // many failures put the executors aside
+			j.work.failRuns, j.work.failTime = 1, 40*time.Millisecond
+		}
 	case 1:
 		j.cancelTry = true
 	case 2:
@@ -119,7 +132,7 @@
 			entry = s.store.leader()
 		}
 		length := time.Duration(300+rnd.IntN(3700)) * time.Millisecond
-		kind := rnd.IntN(8)
+		kind := rnd.IntN(10)
 		s.rec.printf("fault %d for %v", kind, length)
 		switch kind {
 		case 0:
@@ -143,6 +156,10 @@
 			s.workers[side].setMuted(func(start int) bool { return start%6 == 0 && time.Now().Before(until) })
 		case 7:
 			s.workers[side].crash(length)
+		case 8:
+			s.logError(s.restart(entry))
+		case 9:
+			s.logError(s.restart(side))
 		}
 	}
 }
@@ -156,6 +173,10 @@
 // judgeSoak checks the jobs against what the executors have seen.
 func (s *site) judgeSoak(jobs []*soakJob) (violations []string) {
 	for _, j := range jobs {
+		state := ""
+		if j.accepted && j.cancelled.IsZero() {
+			state = s.askState(entries, j.id).State
+		}
 		runs := s.world.runsOf(j.id)
 		complain := func(rule, text string) {
 			for _, r := range runs {
@@ -192,7 +213,7 @@
 		for _, st := range j.body.Steps {
 			tasks += st.Count * max(j.body.RunCount, 1)
 		}
-		switch j.state = s.askState(entries, j.id).State; {
+		switch j.state = state; {
 		case j.state == "completed" && len(done) < tasks:
 			complain("MIXED", "is shown as completed")
 		case j.state == "failed":
