--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -297,10 +297,10 @@
 		failRuns = 1
 	}
 	b := jobBody{Spec: "lasting", LongRunning: true, Steps: []step{{Count: 6, CPU: 8000, MemMB: 64, RequiredLabel: "r1-1"}}}
-	if !s.handIn(entries, id, b, jobWork{cpu: 8000, mem: 64, failRuns: failRuns, failTime: 3 * time.Second}) {
+	if !s.handIn(entries, id, b, jobWork{cpu: 8000, mem: 64, failRuns: failRuns, failTime: 2 * time.Second, failStep: time.Second}) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
-	time.Sleep(25 * time.Second)
+	time.Sleep(30 * time.Second)
 	last := make(map[string]runRecord)
 	for _, r := range s.world.runsOf(id) {
 		last[r.Task] = r
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -42,6 +42,7 @@
 	"label":    playLabel,
 	"manyends": playManyEnds,
 	"soak":     playSoak,
+	"instance": playInstance,
 }
 
 func main() { os.Exit(run()) }
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +34,7 @@
 	gang     int           // number of tasks that work only together; zero for single tasks
 	failRuns int           // the first runs of each task that fail
 	failTime time.Duration // after which they fail
+	failStep time.Duration // by which each task fails later than the one before
 }
 
 // gang is one run of the tasks of a gang.
@@ -93,6 +94,7 @@
 	seq        uint64
 	muted      func(start int) bool // whether a start is carried out and not answered
 	down       bool                 // it has crashed
+	late       func() time.Duration // after how long a start is carried out without an answer; zero: at once and answered
 	starts     int
 	startTimes []time.Duration // from the arrival of a start to the answer
 }
@@ -185,6 +187,15 @@
 			w.wd.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
+		if o.Spec != "" && w.late != nil {
+			if after := w.late(); after > 0 {
+				w.wd.mu.Unlock()
+				w.wd.rec.printf("%s: the start of %s#%d is held up for %v", w.id, o.Task, o.Run, after)
+				time.AfterFunc(after, func() { w.carryOutLate(&o) })
+				<-r.Context().Done()
+				return
+			}
+		}
 		muted := false
 		if o.Spec != "" {
 			w.starts++
@@ -207,6 +218,20 @@
 	}
 }
 
+// carryOutLate carries out a start that was held up, if the executor is up. The order names
+// no incarnation, so a later one carries it out as well.
+func (w *worker) carryOutLate(o *order) {
+	w.wd.mu.Lock()
+	defer w.wd.mu.Unlock()
+	if w.down {
+		return
+	}
+	status, body := w.start(context.Background(), o)
+	if status == http.StatusOK {
+		w.wd.rec.printf("%s: the start of %s#%d, which was held up, is carried out: %v", w.id, o.Task, o.Run, body)
+	}
+}
+
 // reply returns a response. The caller holds the world's mutex, as for all that follows.
 func (w *worker) reply(reason string) (int, map[string]any) {
 	body := map[string]any{"clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
@@ -290,7 +315,7 @@
 		r.workSince = time.Now()
 		how, after := "done", work.runTime
 		if w.wd.starts[o.Task] <= work.failRuns {
-			how, after = "failed", work.failTime
+			how, after = "failed", work.failTime+time.Duration(taskIndex(o.Task))*work.failStep
 		}
 		if after > 0 {
 			r.timer = time.AfterFunc(after, func() { w.timedEnd(r, how) })
@@ -311,6 +336,15 @@
 	r.timer = time.AfterFunc(work.runTime, func() { w.wd.endGang(g) })
 }
 
+// taskIndex returns the last number of a task's name.
+func taskIndex(task string) int {
+	n, err := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // gangOf returns the gang of a run.
 func (wd *world) gangOf(r *workerRun) *gang {
 	step := r.task[:strings.LastIndexByte(r.task, '.')]
@@ -432,47 +466,3 @@
 	}
 	return int(min(99, 100*time.Since(r.workSince)/r.work.runTime))
 }
-
-// beat sends heartbeats to an agent until ctx ends.
-func (w *worker) beat(ctx context.Context, agent string) {
-	for ctx.Err() == nil {
-		pause := beatInterval
-		if w.beatOnce(ctx, agent) != nil {
-			pause = beatInterval / 5
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (w *worker) beatOnce(ctx context.Context, agent string) error {
-	w.wd.mu.Lock()
-	if w.down {
-		w.wd.mu.Unlock()
-		return nil
-	}
-	w.seq++
-	body, err := json.Marshal(map[string]any{
-		"service": w.service, "address": w.id, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"capacity": map[string]int{"cpu": w.cpu, "memMb": w.mem, "gpus": 0}, "labels": w.labels,
-		"clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "seq": w.seq,
-	})
-	w.wd.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+agent+"/masticbay/instances/"+w.id+"/heartbeat", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	r.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
