--- a/review/.driver/cases.go
+++ b/review/.driver/cases.go
@@ -155,7 +155,8 @@
 	n := 0
 	for round := range 6 {
 		leader := s.store.leader()
-		end := time.Now().Add(5 * time.Second)
+		// The balancer probes once a second and drops the entry after two misses.
+		end := time.Now().Add(2 * time.Second)
 		if trouble {
 			clients.Go(func() {
 				time.Sleep(time.Second)
