Decide on an unanswered start only by a whole list of ends

Cause: a worker lists at most 500 ends. While the store is down none is acknowledged, so later ends are on no list. An agent that got no answer to a start decides by the next poll with a higher token: the run was neither among the runs nor among the ends, so it counted as never started.

A poll now tells whether its list of ends is cut off, and the agent decides on such a run only by a list that is whole. While it waits, the agent polls at its usual interval.

--- a/site/agent.go
+++ b/site/agent.go
@@ -57,6 +57,7 @@
 	lastOrders    map[string]uint64 // by incarnation of a home: number of its last order taken
 	workerDown    bool              // the worker was logged as not answering
 	leaseWithheld bool              // the lease was logged as withheld
+	endsCut       bool              // the worker's list of ends was logged as cut off
 	targetVersion uint64            // version of the worker's description
 	lastAnswered  time.Time         // when an entry last answered an announcement
 }
@@ -253,7 +254,7 @@
 		return ans.Reason == platform.ReasonFence
 	}
 	a.logWorkerContact(false, nil)
-	snapshot := worker.Snapshot{Token: token, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running)), Checkpoints: make(map[work.Run]string)}
+	snapshot := worker.Snapshot{Token: token, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running)), Checkpoints: make(map[work.Run]string), EndsCut: ans.EndsCut}
 	for _, r := range ans.Running {
 		snapshot.Running[r.Run] = r.Percent
 		if r.Checkpoint != "" {
@@ -263,13 +264,14 @@
 	for _, e := range ans.Ended {
 		snapshot.Ended = append(snapshot.Ended, worker.Ended{Number: e.EndNumber, Run: e.Run, End: e.End, Checkpoint: e.Checkpoint})
 	}
+	a.logCutList(ans.EndsCut)
 	runsBefore := a.guard.Running()
 	a.guard.PollAnswered(now, snapshot)
 	a.executeOrders()
 	if a.guard.Running() != runsBefore {
 		a.signalEvents()
 	}
-	if a.guard.HasUnclearRuns() {
+	if a.guard.NeedsPoll() {
 		go a.poll(0) // with the higher fencing token
 	}
 	return true
@@ -289,6 +291,20 @@
 	a.log.Info().Msg("worker answers")
 }
 
+// logCutList logs when the worker's list of ends begins to be cut off, or is whole again.
+// Until then it does not show of every start without an answer whether it was carried out.
+// The caller holds mu.
+func (a *Agent) logCutList(isCut bool) {
+	if isCut {
+		a.metrics.listsCut.Inc(1)
+	}
+	if isCut == a.endsCut {
+		return
+	}
+	a.endsCut = isCut
+	a.log.Warn().Bool("cut", isCut).Int("runs", a.guard.Running()).Int("unsavedEnds", len(a.guard.Uncommitted())).Msg("worker's list of ends")
+}
+
 // tickDuty is the loop that stops the runs of homes that are out of contact.
 func (a *Agent) tickDuty() {
 	tick := time.NewTicker(agentTickInterval)
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -29,6 +29,7 @@
 	Running     map[work.Run]int    // percent of the work done
 	Checkpoints map[work.Run]string // of active runs that have one
 	Ended       []Ended             // by ascending number
+	EndsCut     bool                // later ends are missing from Ended
 }
 
 // Ended is an end that the worker lists.
@@ -111,6 +112,9 @@
 	}
 	g.settledOnce = g.settledOnce || g.settled && snapshot.Token > 0
 	g.updateUnsettled(now)
+	if snapshot.EndsCut {
+		return // a run that is not listed may have ended
+	}
 	for _, ref := range g.sortedTasks() {
 		known := g.runs[ref]
 		if known.phase != unclear || known.token >= snapshot.Token {
@@ -123,8 +127,8 @@
 	}
 }
 
-// endIfUnlisted returns the end of an unclear run that the worker does not list, and
-// the reason.
+// endIfUnlisted returns the end of an unclear run that the worker lists neither among its
+// runs nor among all of its ends, and the reason.
 func (r *run) endIfUnlisted() (end work.End, reason string) {
 	if r.workerRestarted {
 		return work.Lapsed, "worker started anew"
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -12,8 +12,9 @@
 //
 // An order that was not answered may be carried out late. The agent then
 // raises its fencing token: once the worker has acknowledged the higher token,
-// it carries out no order with a lower one, and its list of runs is final for
-// those orders.
+// it carries out no order with a lower one, and its lists of runs and of ends are
+// final for those orders. A list of ends that is cut off is not: a run that it does not
+// show may have ended.
 //
 // While a stop is overdue, the agent withholds the lease of its worker, which ends the run
 // with the lease. A home that takes over a job from a lost home has the agent seal the job:
@@ -221,10 +222,11 @@
 	g.token = max(g.token+1, uint64(g.workerClock.Milliseconds())+1)
 }
 
-// HasUnclearRuns reports whether the Guard does not know of some run whether it was started.
-func (g *Guard) HasUnclearRuns() bool {
+// NeedsPoll reports whether the Guard does not know of some run whether it was started, and
+// a poll with the present token may tell.
+func (g *Guard) NeedsPoll() bool {
 	for _, r := range g.runs {
-		if r.phase == unclear {
+		if r.phase == unclear && r.token >= g.ackedToken {
 			return true
 		}
 	}
