Apply the stops of a batch of orders to its starts

Cause: a commit that enrols an agent and cancels jobs makes the home place waiting tasks and then stop them; both go to the agent as one batch. The agent carried out the stops first, did not know the runs, and then started them. A home orders each stop once.

The agent's log could not tell a stop that was not ordered from one that was ignored; it now writes each stop that it takes, and whether it knows the run.

The agent now takes the starts of a batch before its stops. Run numbers never repeat, so a stop can only mean a run that was ordered before it or with it; a run whose start is not answered yet is stopped once it is.

--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -95,6 +95,9 @@
 		}
 		a.guard.Seal(now, args.Home, o.Seals)
 		a.guard.Order(now, args.Home, fromStamp(o.Echo), o.Starts, o.Stops)
+		for _, r := range o.Stops {
+			a.runLog.Info().Str("run", r.String()).Str("home", args.Home).Bool("known", a.guard.Knows(r)).Msg("stop taken")
+		}
 	}
 	a.executeOrders()
 }
--- a/worker/order.go
+++ b/worker/order.go
@@ -16,14 +16,9 @@
 }
 
 // Order takes starts and stops from an entry. Starts that are refused produce
-// events at once.
+// events at once. The stops apply to the starts too.
 func (g *Guard) Order(now time.Time, entry string, echo time.Time, starts []work.Start, stops []work.Run) {
 	g.RecordContact(entry, echo)
-	for _, r := range stops {
-		if known, ok := g.runs[r.Task]; ok && known.start.Run == r {
-			g.stop(now, known, stopOrdered)
-		}
-	}
 	for _, s := range starts {
 		if reason := g.refusalReason(now, entry, echo, &s); reason != "" {
 			g.addEvent(entry, Event{Run: s.Run, End: work.Refused, Reason: reason})
@@ -33,6 +28,11 @@
 		g.runs[s.Run.Task] = r
 		g.sendStart(now, r)
 	}
+	for _, r := range stops {
+		if g.Knows(r) {
+			g.stop(now, g.runs[r.Task], stopOrdered)
+		}
+	}
 }
 
 // The reasons for which an agent itself refuses a start.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -151,6 +151,12 @@
 // Running returns the number of runs that may be active.
 func (g *Guard) Running() int { return len(g.runs) }
 
+// Knows reports whether a run was ordered here and has not ended.
+func (g *Guard) Knows(r work.Run) bool {
+	known, ok := g.runs[r.Task]
+	return ok && known.start.Run == r
+}
+
 // TakeHeartbeat takes a heartbeat of the worker.
 func (g *Guard) TakeHeartbeat(now time.Time, t work.Target, clock time.Duration) {
 	if g.hasTarget && t.Born != 0 && g.target.Born != 0 && t.Born < g.target.Born {
