Do not reject a job whose commit may have been carried out

Cause: an entry that lost the ledger answered all waiting submissions as "moved, nothing done", also those whose commit was sent and not answered. After a second of that the caller's entry rejects the job.

The answer now tells whether the job was sent to the store. If it was, the caller's entry asks the next home until the caller's time is over, since that home knows whether the job is stored, and never rejects it unless a home says so before it was sent.

TestJobRunsAfterItsHomeRejectedIt/home failed before: "the job was rejected and ran".

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -204,6 +204,13 @@
 	return ok && j.stored
 }
 
+// MaybeStored reports whether a job is stored, or was sent to the store in a commit that may
+// still be carried out.
+func (l *Ledger) MaybeStored(id string) bool {
+	j, ok := l.jobs[id]
+	return ok && (j.stored || j.maybeStored)
+}
+
 // EndRun records that a run has ended as done or failed.
 func (l *Ledger) EndRun(t work.TaskRef, end work.End, m EventRef) {
 	j, ok := l.jobs[t.Job]
--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -43,11 +43,11 @@
 		switch {
 		case err == nil && !rep.Moved:
 			return truthful(rep.Outcome, sent)
-		case err != nil && !errors.Is(err, wire.ErrNotSent):
+		case err == nil && rep.Sent, err != nil && !errors.Is(err, wire.ErrNotSent):
 			// The next home knows whether the job is stored.
 			sent = true
 			e.requestLog.Warn().Err(err).Str("job", j.ID).Str("home", m.Name).Msg("home lost with a job that was to be stored")
-		case err == nil && e.now().Sub(receivedAt) > storedWait:
+		case err == nil && !sent && e.now().Sub(receivedAt) > storedWait:
 			return notStoredOutcome(sent, "no home holds the ledger")
 		}
 		sleep(ctx, homePollInterval)
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -213,6 +213,7 @@
 		changes = h.ledger.Committed(pending, rev)
 	case conflicts:
 		var deposed bool
+		sent := h.sentJobs() // the ledger forgets them when it is deposed
 		if changes, deposed, err = h.ledger.Conflict(pending, conflict.Current); err != nil {
 			h.e.log.Error().Err(err).Msg("ledger: cannot decode the holder")
 			return
@@ -220,7 +221,7 @@
 		h.e.log.Info().Bool("deposed", deposed).Str("holder", h.ledger.Holder()).Uint64("revision", conflict.Current.Revision).Msg("ledger: the condition of a commit does not hold")
 		if deposed {
 			h.deposedAt = now
-			h.redirectWaiters()
+			h.redirectWaiters(sent)
 		}
 	case errors.Is(err, store.ErrRefused):
 		h.ledger.Refused(now, pending)
--- a/site/home_stored.go
+++ b/site/home_stored.go
@@ -17,11 +17,21 @@
 	delete(h.acceptWaiters, id)
 }
 
+// sentJobs returns the jobs that callers wait for and that the store may have. The caller
+// holds mu.
+func (h *home) sentJobs() map[string]bool {
+	sent := make(map[string]bool)
+	for id := range h.acceptWaiters {
+		sent[id] = h.ledger.MaybeStored(id)
+	}
+	return sent
+}
+
 // redirectWaiters answers all callers that wait for a stored job, so that they ask
-// the new holder. The caller holds mu.
-func (h *home) redirectWaiters() {
+// the new holder. Of those in sent, the store may carry out a commit. The caller holds mu.
+func (h *home) redirectWaiters(sent map[string]bool) {
 	for id := range h.acceptWaiters {
-		h.answerAcceptWaiters(id, AcceptReply{Moved: true})
+		h.answerAcceptWaiters(id, AcceptReply{Moved: true, Sent: sent[id]})
 	}
 	for id, waiters := range h.endWaiters {
 		for _, done := range waiters {
--- a/site/messages.go
+++ b/site/messages.go
@@ -141,7 +141,8 @@
 // AcceptReply reports whether the job is stored.
 type AcceptReply struct {
 	Outcome work.Outcome // Queued once it is stored
-	Moved   bool         // the receiver does not hold the ledger, and did nothing
+	Moved   bool         // the receiver does not hold the ledger
+	Sent    bool         // with Moved: the receiver held it and sent the job to the store, which may have it; otherwise it did nothing
 }
 
 // JobArgs names a stored job.
