--- a/site/home_route.go
+++ b/site/home_route.go
@@ -50,6 +50,8 @@
 		return it, err
 	case rep.Missing:
 		return it, store.ErrNotFound
+	case len(rep.Items) != 1 || rep.Items[0].Key != key:
+		return it, errors.NotValidf("reply with %d items to a read of %q", len(rep.Items), key)
 	}
 	return rep.Items[0], nil
 }
