Let only the replies of a worker tell which incarnation runs

Here, one heartbeat with a late start time made the agent take all later heartbeats and polls of its worker for delayed ones. A late clock in the first heartbeat made leases longer than homes and entries assume. A heartbeat under another id, of another service or without a capacity replaced the worker's description until its next heartbeat.

A heartbeat now announces an incarnation, and the agent polls at once; what the worker answers decides. The first answer replaces what heartbeats have told of the start time and the clock.

--- a/site/agent.go
+++ b/site/agent.go
@@ -159,23 +159,36 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before, known := a.guard.Target()
+	if !rep.Leaving && a.node.Service != "" && rep.Target.Service != a.node.Service {
+		a.log.Warn().Str("worker", rep.Target.ID).Str("service", rep.Target.Service).Msg("heartbeat of another service ignored")
+		return
+	}
 	if rep.Leaving {
 		if known && before.ID == rep.Target.ID {
 			a.guard.Leave()
 			a.log.Info().Str("worker", rep.Target.ID).Msg("worker leaves")
 		}
 	} else {
-		a.guard.TakeHeartbeat(a.now(), rep.Target, rep.Clock)
+		if a.guard.TakeHeartbeat(a.now(), rep.Target, rep.Clock) {
+			a.log.Info().Str("worker", rep.Target.ID).Int64("born", rep.Target.Born).Int64("current", before.Born).Msg("another incarnation of the worker announced")
+			go a.poll(0)
+		}
 	}
 	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born {
-		a.log.Info().Str("worker", after.ID).Int64("born", after.Born).Bool("draining", after.Draining).Bool("serves", ok).
-			Int("cpu", after.Capacity.CPU).Strs("labels", after.Labels).Msg("worker changed")
-		a.targetVersion++
-		a.signalEvents()
+		a.targetChanged()
 		go a.poll(0)
 	}
 }
 
+// targetChanged records that the description of the worker has changed. The caller holds mu.
+func (a *Agent) targetChanged() {
+	t, serves := a.guard.Target()
+	a.log.Info().Str("worker", t.ID).Int64("born", t.Born).Bool("draining", t.Draining).Bool("serves", serves).
+		Int("cpu", t.Capacity.CPU).Strs("labels", t.Labels).Msg("worker changed")
+	a.targetVersion++
+	a.signalEvents()
+}
+
 func (a *Agent) logBadReport(err error) {
 	a.log.Warn().Err(err).Msg("cannot decode a report of the worker")
 }
@@ -266,7 +279,11 @@
 	}
 	a.logCutList(ans.EndsCut)
 	runsBefore := a.guard.Running()
+	before, _ := a.guard.Target()
 	a.guard.PollAnswered(now, snapshot)
+	if after, _ := a.guard.Target(); after.Born != before.Born || after.ID != before.ID {
+		a.targetChanged()
+	}
 	a.executeOrders()
 	if a.guard.Running() != runsBefore {
 		a.signalEvents()
--- /dev/null
+++ b/worker/heartbeat.go
@@ -0,0 +1,91 @@
+package worker
+
+import (
+	"time"
+
+	"masticbay/work"
+)
+
+// A heartbeat may come from another writer, so only the worker's replies decide which
+// incarnation runs and what its clock shows. A heartbeat describes the worker. Until the
+// first reply, it stands in for one.
+
+// TakeHeartbeat takes a heartbeat of the worker. It reports whether the heartbeat announces
+// another incarnation, which is used once a poll shows it.
+func (g *Guard) TakeHeartbeat(now time.Time, t work.Target, clock time.Duration) (announced bool) {
+	g.initialise(now)
+	if g.lastPoll.IsZero() {
+		g.describe(now, t)
+		g.setFirstToken(now, clock)
+		return false
+	}
+	if t.Born == 0 {
+		t.Born = g.target.Born
+	}
+	switch {
+	case t.Born < g.target.Born:
+		return false // delayed; from an earlier incarnation
+	case t.Born > g.target.Born && g.target.Born != 0:
+		g.announced, g.settled = t, false // until a poll shows what runs
+		g.raiseToken()
+		return true
+	case g.hasTarget && t.Capacity == work.Room{}:
+		return false // incomplete
+	case g.hasTarget && t.ID != g.target.ID && now.Sub(g.describedAt) <= descriptionMaxAge:
+		return false // of another worker
+	}
+	g.describe(now, t)
+	return false
+}
+
+// describe makes t the description of the worker.
+func (g *Guard) describe(now time.Time, t work.Target) {
+	g.target, g.hasTarget, g.leaving, g.describedAt = t, true, false, now
+}
+
+// descriptionMaxAge is the time without a heartbeat under the worker's ID after which one
+// under another ID describes the worker; several times the interval between heartbeats.
+const descriptionMaxAge = 5 * time.Second
+
+// setFirstToken derives a token from the clock in a heartbeat, until a reply shows the clock.
+func (g *Guard) setFirstToken(now time.Time, clock time.Duration) {
+	if g.token == 0 {
+		g.updateClock(now, min(clock, maxFirstClock))
+		g.raiseToken()
+	}
+}
+
+// maxFirstClock bounds the token that the first heartbeat leads to, as the tokens of all
+// later incarnations of the agent have to be higher.
+const maxFirstClock = 365 * 24 * time.Hour
+
+// takeIncarnation processes the start time and the clock in the reply to a poll. It reports
+// false if the reply is from an earlier incarnation than the last one.
+func (g *Guard) takeIncarnation(now time.Time, born int64, clock time.Duration) bool {
+	if g.lastPoll.IsZero() {
+		g.takeFirstIncarnation(now, born, clock)
+	} else {
+		g.handleWorkerRestart(now, born, clock)
+	}
+	if born != 0 && born < g.target.Born {
+		return false
+	}
+	if g.announced.Born != 0 && g.announced.Born == g.target.Born {
+		g.describe(now, g.announced)
+		g.announced = work.Target{}
+	}
+	return true
+}
+
+// takeFirstIncarnation replaces what heartbeats have told by what the first reply shows.
+func (g *Guard) takeFirstIncarnation(now time.Time, born int64, clock time.Duration) {
+	switch {
+	case born == 0:
+		return
+	case g.target.Born == 0:
+		g.target.Born = born
+	case g.target.Born != born:
+		g.target, g.hasTarget = work.Target{Born: born}, false
+	}
+	g.workerClock, g.clockReadAt, g.maxLeaseUntil = clock, now, 0
+}
--- /dev/null
+++ b/worker/heartbeat_test.go
@@ -0,0 +1,95 @@
+package worker_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"masticbay/work"
+	"masticbay/worker"
+)
+
+// sendOddHeartbeat sends a heartbeat of another writer.
+func (d *driver) sendOddHeartbeat(id string, born int64, clock time.Duration) {
+	d.g.TakeHeartbeat(d.now, work.Target{ID: id, Born: born, Service: "s", Capacity: work.Room{CPU: 5}, Draining: true}, clock)
+}
+
+// TestOddHeartbeatShutsTheWorkerOut guards against an agent that ignores its worker from
+// then on, because a heartbeat of another writer had a later start time or clock.
+func TestOddHeartbeatShutsTheWorkerOut(t *testing.T) {
+	for name, odd := range map[string]struct {
+		id    string
+		born  int64
+		clock time.Duration
+	}{
+		"this id, born too late": {"w", math.MaxInt64, time.Second},
+		"this id, late clock":    {"w", 7, 300 * 24 * time.Hour},
+		"this id, latest clock":  {"w", 7, math.MaxInt64},
+		"another id":             {"x", 7, time.Second},
+		"another id, not born":   {"x", 0, time.Second},
+	} {
+		for _, first := range []bool{false, true} {
+			d := &driver{t: t, g: worker.NewGuard(cfg), now: time.Unix(1000, 0), clock: 5 * time.Second, born: 7}
+			if first {
+				d.sendOddHeartbeat(odd.id, odd.born, odd.clock)
+			}
+			d.sendHeartbeat(false)
+			d.answerPoll(0)
+			if !first {
+				d.sendOddHeartbeat(odd.id, odd.born, odd.clock)
+			}
+			d.answerPoll(0)
+			d.sendHeartbeat(false)
+			if target, ok := d.g.Target(); !ok || target.Draining || target.ID != "w" || target.Born != d.born {
+				t.Errorf("%s, first %t: target %+v", name, first, target)
+			}
+			if n := len(d.order(start(0, 1, 10))); n != 1 {
+				t.Errorf("%s, first %t: %d orders, want a start", name, first, n)
+			}
+			if until := d.g.LeaseUntil(d.now); until > d.clock+cfg.Lease {
+				t.Errorf("%s, first %t: lease until %v at clock %v", name, first, until, d.clock)
+			}
+			d.g.Started(d.now, run(0, 1), "", false)
+			d.answerPollWithEnd(work.Done, run(0, 1))
+			d.lastEvent(work.Done)
+		}
+	}
+}
+
+// TestHeartbeatWithoutCapacityStopsTheWorker guards against a worker that gets no tasks
+// after a heartbeat with missing fields.
+func TestHeartbeatWithoutCapacityStopsTheWorker(t *testing.T) {
+	d := newDriver(t)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Service: "s"}, 0)
+	if n := len(d.order(start(0, 1, 10))); n != 1 {
+		t.Errorf("%d orders, want a start", n)
+	}
+}
+
+// TestForeignDescriptionIsReplaced guards against an agent that uses the description of
+// another worker for good, since that one's heartbeat was the first.
+func TestForeignDescriptionIsReplaced(t *testing.T) {
+	d := newRestartedDriver(t)
+	d.sendOddHeartbeat("x", 7, time.Second)
+	d.answerPoll(0)
+	d.sendHeartbeat(false)
+	d.advance(6 * time.Second)
+	d.answerPoll(0)
+	d.sendHeartbeat(false)
+	if target, _ := d.g.Target(); target.ID != "w" || target.Draining {
+		t.Errorf("target %+v", target)
+	}
+}
+
+// TestAnnouncedWorkerIsUsedOnceItAnswers checks that a new incarnation gets tasks with the
+// description of its heartbeat.
+func TestAnnouncedWorkerIsUsedOnceItAnswers(t *testing.T) {
+	d := newDriver(t)
+	d.born, d.clock = 8, time.Second
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w2", Born: 8, Service: "s", Capacity: work.Room{CPU: 7}}, d.clock)
+	d.answerPoll(0)
+	d.answerPoll(0)
+	if target, ok := d.g.Target(); !ok || target.ID != "w2" || target.Capacity.CPU != 7 {
+		t.Errorf("target %+v, known %t", target, ok)
+	}
+}
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -59,11 +59,10 @@
 
 // PollAnswered processes the answer to a poll.
 func (g *Guard) PollAnswered(now time.Time, snapshot Snapshot) {
-	g.handleWorkerRestart(now, snapshot.Born, snapshot.Clock)
-	if snapshot.Born != 0 && snapshot.Born < g.target.Born {
+	g.initialise(now)
+	if !g.takeIncarnation(now, snapshot.Born, snapshot.Clock) {
 		return
 	}
-	g.initialise(now)
 	g.updateClock(now, snapshot.Clock)
 	g.takeFirstSnapshot(now, &snapshot)
 	g.outOfContact, g.lastPoll = false, now
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -100,7 +100,9 @@
 type Guard struct {
 	cfg              Config
 	target           work.Target
-	hasTarget        bool // a heartbeat has described the target
+	hasTarget        bool        // a heartbeat has described the target
+	announced        work.Target // as a heartbeat described another incarnation, which no poll has shown
+	describedAt      time.Time   // last heartbeat that described it
 	leaving          bool
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
@@ -157,23 +159,6 @@
 	return ok && known.start.Run == r
 }
 
-// TakeHeartbeat takes a heartbeat of the worker.
-func (g *Guard) TakeHeartbeat(now time.Time, t work.Target, clock time.Duration) {
-	if g.hasTarget && t.Born != 0 && g.target.Born != 0 && t.Born < g.target.Born {
-		return // delayed; from an earlier incarnation
-	}
-	g.initialise(now)
-	g.handleWorkerRestart(now, t.Born, clock)
-	if t.Born == 0 {
-		t.Born = g.target.Born
-	}
-	g.target, g.hasTarget, g.leaving = t, true, false
-	if g.token == 0 {
-		g.updateClock(now, clock)
-		g.raiseToken()
-	}
-}
-
 // initialise records the time of the first message.
 func (g *Guard) initialise(now time.Time) {
 	if g.startedAt.IsZero() {
