Ignore odd items of the ledger, and take its epochs from revisions

Shown here by a trial on the code before: - one item under masticbay/ledger/ or masticbay/ended/ that can't be decoded: each home failed to read the ledger again and again, so no stored job went on (LOST); - progress that names tasks which do not exist ({"done":[[7,7,7]]} of a job of three tasks) was taken as it is: an index out of range ends the home, and then the next one; - masticbay/tenure overwritten: the holder kept its commits and made none after four; with the highest epoch in it, the next holder got epoch 0, which no agent obeys; - a job whose first occurrence is after the year 9999, which any caller may send: "year outside of range [0,9999]" in each round, and nothing was committed any more.

Items that can't be read or are out of range are ignored and logged. A job whose progress can't be read is known but not run, since tasks of it may be done. The epoch of a tenure is one above the revision of its key, which each acquisition raises, so no value of the key can make it fall or overflow. An odd value deposes the holder, which takes the ledger again. Without the list of agents, nothing starts before the leases of the previous holder have expired. Schedules and chains that overflow are invalid, and a job that can't be encoded does not hold up the others.

--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -43,14 +44,14 @@
 
 // Next returns the commit to send now, or nil. Its result must be recorded by
 // Committed, Conflict, Refused or Unanswered. The wall time decides which ended jobs
-// have expired.
+// have expired. An error says why changes were dropped; there may be a commit all the same.
 func (l *Ledger) Next(now, wall time.Time) (p *PendingCommit, err error) {
 	defer func() { err = errors.Annotate(err, "making a commit") }()
 	switch {
 	case l.tenureCommit != nil:
 		return l.resend(), nil
 	case l.acquiring && l.phase < loading:
-		return l.newTenureCommit(now, acquire, tenure{Life: l.life, Epoch: l.tenure.Epoch + 1})
+		return l.newTenureCommit(now, acquire, tenure{Life: l.life, Epoch: l.nextEpoch()})
 	case l.phase != held:
 		return nil, nil
 	case len(l.unanswered) > 0 || len(l.inFlight) == 0 && l.renewalDue(now):
@@ -64,14 +65,13 @@
 		return nil, nil
 	}
 	p = &PendingCommit{firstSentAt: now, awaitsResult: true, commit: &store.Commit{Guard: TenureKey, Revision: l.rev}}
-	if err := l.fill(wall, p); err != nil {
-		return nil, err
-	}
+	err = l.fill(wall, p)
 	if len(p.commit.Writes)+len(p.commit.Deletes) == 0 {
-		return l.commitWithoutWrites(now, p)
+		renewal, renewErr := l.commitWithoutWrites(now, p)
+		return renewal, cmp.Or(err, renewErr)
 	}
 	l.inFlight, l.lastSentAt = append(l.inFlight, p), now
-	return p, nil
+	return p, err
 }
 
 // commitWithoutWrites returns a commit for changes of jobs that are no longer retained.
--- a/ledger/fill.go
+++ b/ledger/fill.go
@@ -1,10 +1,13 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"masticbay/store"
 )
 
@@ -17,6 +20,7 @@
 const maxJobEntries = 3
 
 // fill adds changes to a commit as far as they fit, only of jobs that are in no other commit.
+// It drops the changes of a job that can't be encoded.
 func (l *Ledger) fill(wall time.Time, p *PendingCommit) (err error) {
 	space := l.cfg.MaxCommitEntries - 1 // the condition
 	if l.enrollmentChanged {
@@ -31,16 +35,18 @@
 			postponed = append(postponed, id)
 			continue
 		}
-		p.jobs, p.changes = append(p.jobs, id), append(p.changes, l.changes[id]...)
+		changes := l.changes[id]
 		delete(l.changes, id)
 		if j, ok := l.jobs[id]; ok {
 			before := len(p.commit.Writes) + len(p.commit.Deletes)
-			if err := j.fill(p); err != nil {
-				return err
+			if fillErr := j.fill(p); fillErr != nil {
+				err = cmp.Or(err, errors.Annotatef(fillErr, "encoding job %s", id))
+				continue
 			}
 			space -= len(p.commit.Writes) + len(p.commit.Deletes) - before
 			l.busy[id] = true
 		}
+		p.jobs, p.changes = append(p.jobs, id), append(p.changes, changes...)
 	}
 	l.changedJobs = postponed
 	for ; space > 0 && l.oldestExpired(wall); space-- {
@@ -53,42 +59,39 @@
 	p.deletedKeys = append(p.deletedKeys, l.keysToDelete[:n]...)
 	l.keysToDelete = l.keysToDelete[n:]
 	p.commit.Deletes = append(p.commit.Deletes, p.deletedKeys...)
-	return nil
+	return err
 }
 
-// fill adds the writes and deletions that a job needs.
+// fill adds the writes and deletions that a job needs, or none if it can't be encoded.
 func (j *Job) fill(p *PendingCommit) error {
-	isNew, key := !j.stored, jobPrefix+j.ID
-	if j.State != "" {
+	isNew, hasEnded := !j.stored, j.State != ""
+	encode, key := j.encode, jobPrefix+j.ID
+	switch {
+	case hasEnded:
 		key = EndedPrefix + j.ID
+	case !isNew:
+		encode, key = j.encodeProgress, progressPrefix+j.ID
+	}
+	raw, err := encode()
+	if err != nil {
+		return err
+	}
+	p.commit.Writes = append(p.commit.Writes, store.Item{Key: key, Value: raw})
+	if hasEnded {
 		p.endedJobs = append(p.endedJobs, j)
 		if !isNew || j.maybeStored {
 			p.commit.Deletes = append(p.commit.Deletes, jobPrefix+j.ID)
 		}
-	}
-	if isNew || j.State != "" {
-		raw, err := j.encode()
-		if err != nil {
-			return err
+		if j.hasProgressItem {
+			j.hasProgressItem = false
+			p.commit.Deletes = append(p.commit.Deletes, progressPrefix+j.ID)
 		}
-		p.commit.Writes = append(p.commit.Writes, store.Item{Key: key, Value: raw})
 	}
 	if isNew {
 		p.newJobs = append(p.newJobs, j)
 		j.maybeStored = true
 	}
-	switch {
-	case j.State != "" && j.hasProgressItem:
-		j.hasProgressItem = false
-		p.commit.Deletes = append(p.commit.Deletes, progressPrefix+j.ID)
-	case j.State == "" && !isNew:
-		raw, err := j.encodeProgress()
-		if err != nil {
-			return err
-		}
-		j.hasProgressItem = true
-		p.commit.Writes = append(p.commit.Writes, store.Item{Key: progressPrefix + j.ID, Value: raw})
-	}
+	j.hasProgressItem = j.hasProgressItem || !isNew && !hasEnded
 	return nil
 }
 
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,20 +19,40 @@
 	return l.observeHolder(it)
 }
 
-// observeHolder takes the tenure's key when this entry does not hold the tenure.
+// observeHolder takes the tenure's key when this entry does not hold the tenure. After an
+// error the holder is unknown, as another writer has overwritten the key. A key that was
+// deleted does not show that nothing is stored.
 func (l *Ledger) observeHolder(it store.Item) (err error) {
-	l.rev, l.tenure = it.Revision, tenure{}
-	l.phase = vacant
+	l.setRevision(it.Revision)
+	l.tenure, l.phase = tenure{}, foreign
 	if it.Revision == 0 {
+		if l.highestRev == 0 {
+			l.phase = vacant
+		}
 		return nil
 	}
-	l.phase = foreign
-	if err := json.Unmarshal(it.Value, &l.tenure); err != nil {
-		return errors.Annotatef(err, "decoding %q", it.Key)
+	if l.tenure, err = decodeTenure(it); err != nil {
+		l.tenure = tenure{}
 	}
-	return nil
+	return err
 }
 
+// decodeTenure decodes the tenure's key.
+func decodeTenure(it store.Item) (t tenure, err error) {
+	err = json.Unmarshal(it.Value, &t)
+	return t, errors.Annotatef(err, "decoding %q", it.Key)
+}
+
+// setRevision records the revision of the tenure's key.
+func (l *Ledger) setRevision(rev uint64) {
+	l.rev, l.highestRev = rev, max(l.highestRev, rev)
+}
+
+// nextEpoch returns the epoch of the next tenure. Each acquisition and each renewal raises the
+// revision of the tenure's key, so an epoch that is above the revision is above all earlier
+// epochs, whatever the key's value is.
+func (l *Ledger) nextEpoch() uint64 { return l.highestRev + 1 }
+
 // InvalidateVacant discards the knowledge that nobody held the ledger: another entry may hold it now.
 func (l *Ledger) InvalidateVacant() {
 	if l.phase == vacant && l.tenureCommit == nil {
@@ -55,30 +76,28 @@
 	}
 }
 
-// Load takes all items under OpenPrefix as read after the acquisition.
-func (l *Ledger) Load(items []store.Item) (err error) {
+// Load takes all items under OpenPrefix as read after the acquisition. It returns why items
+// were ignored.
+func (l *Ledger) Load(items []store.Item) (ignored []error) {
 	if l.phase != loading {
 		return nil
 	}
 	l.reset()
-	if err := l.decode(items); err != nil {
-		return err
-	}
+	ignored = l.decode(items)
 	l.phase = held
-	return nil
+	return ignored
 }
 
-// LoadEnded takes all items under EndedPrefix as read after Load.
-func (l *Ledger) LoadEnded(items []store.Item) (err error) {
+// LoadEnded takes all items under EndedPrefix as read after Load. It returns why items were
+// ignored.
+func (l *Ledger) LoadEnded(wall time.Time, items []store.Item) (ignored []error) {
 	if l.phase != held || l.endedLoaded {
 		return nil
 	}
-	if err := l.decodeEnded(items); err != nil {
-		return err
-	}
+	ignored = l.addEnded(wall, items)
 	slices.SortFunc(l.ended, func(a, b *Job) int { return a.Ended.Compare(b.Ended) })
 	l.endedLoaded = true
-	return nil
+	return ignored
 }
 
 // Loading reports whether the items must be read from the store.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -68,6 +68,8 @@
 	acquiring bool // this entry wants to hold it
 	tenure    tenure
 	rev       uint64 // of the key of the tenure
+	// highestRev is the highest revision of that key so far; the key may be deleted.
+	highestRev uint64
 
 	renewedAt         time.Time        // when the last commit that succeeded was sent
 	lastSentAt        time.Time        // when the last commit was first sent
@@ -82,6 +84,7 @@
 	changedJobs       []string            // the keys of changes, in the order of their first change
 	ended             []*Job              // retained ended jobs, by the time of their end
 	agents            map[string]bool     // enrolled agents; false until that is committed
+	enrollmentUnknown bool                // the stored list of agents could not be read
 	enrollmentChanged bool                // agents differs from what was last committed
 	endedLoaded       bool                // the ended jobs have been read too
 }
@@ -95,7 +98,7 @@
 
 func (l *Ledger) reset() {
 	l.tenureCommit, l.inFlight, l.unanswered, l.keysToDelete = nil, nil, nil, nil
-	l.changedJobs, l.ended, l.enrollmentChanged, l.endedLoaded, l.failingSince = nil, nil, false, false, time.Time{}
+	l.changedJobs, l.ended, l.enrollmentChanged, l.enrollmentUnknown, l.endedLoaded, l.failingSince = nil, nil, false, false, false, time.Time{}
 	l.jobs, l.changes, l.agents = make(map[string]*Job), make(map[string][]Change), make(map[string]bool)
 	l.busy = make(map[string]bool)
 }
@@ -111,6 +114,7 @@
 	stored          bool // its item is in the store
 	maybeStored     bool // its item may be in the store
 	endStored       bool // the store has its end
+	unreadable      bool // its progress could not be read
 	hasProgressItem bool // an item with its progress may be in the store
 }
 
@@ -171,11 +175,12 @@
 	return j, ok
 }
 
-// Open returns the jobs that have not ended, in the order of their submission.
+// Open returns the jobs that have not ended, in the order of their submission, except those
+// whose progress could not be read.
 func (l *Ledger) Open() []*Job {
 	var open []*Job
 	for _, j := range l.jobs {
-		if j.State == "" {
+		if j.State == "" && !j.unreadable {
 			open = append(open, j)
 		}
 	}
@@ -270,6 +275,10 @@
 	return agents
 }
 
+// EnrollmentKnown reports whether Enrolled names all agents that may run tasks of the previous
+// holder.
+func (l *Ledger) EnrollmentKnown() bool { return !l.enrollmentUnknown }
+
 func (l *Ledger) addChange(id string, c Change) {
 	if _, ok := l.changes[id]; !ok {
 		l.changedJobs = append(l.changedJobs, id)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -73,55 +74,59 @@
 // StateOf returns the state in the item of a job: queued for any job that has not
 // ended.
 func StateOf(it store.Item) (s work.State, err error) {
-	var v jobValue
-	if err := json.Unmarshal(it.Value, &v); err != nil {
-		return "", errors.Annotatef(err, "decoding %q", it.Key)
+	defer func() { err = errors.Annotatef(err, "decoding %q", it.Key) }()
+	if id, ok := strings.CutPrefix(it.Key, jobPrefix); ok {
+		_, err := decodeJob(id, it.Value)
+		return work.Queued, err
 	}
-	if v.State == "" {
-		return work.Queued, nil
+	j, err := decodeEnded(strings.TrimPrefix(it.Key, EndedPrefix), it.Value)
+	if err != nil {
+		return "", err
 	}
-	return v.State, nil
+	return j.State, nil
 }
 
-// decode adds the jobs, their progress and the agents from the items under OpenPrefix.
-func (l *Ledger) decode(items []store.Item) (err error) {
-	progress := make(map[string]progressValue)
+// decode adds the jobs, their progress and the agents from the items under OpenPrefix. Items
+// that can't be read are ignored, since another writer may have left them; ignored says why.
+// A job whose progress can't be read is known, but must not run: tasks of it may be done.
+func (l *Ledger) decode(items []store.Item) (ignored []error) {
+	progress := make(map[string][]byte)
 	for _, it := range items {
-		switch {
-		case it.Key == agentsKey:
+		var err error
+		if id, ok := strings.CutPrefix(it.Key, jobPrefix); ok {
+			err = l.addOpen(id, it.Value)
+		} else if id, ok := strings.CutPrefix(it.Key, progressPrefix); ok {
+			progress[id] = it.Value
+		} else if it.Key == agentsKey {
 			err = l.decodeAgents(it.Value)
-		case strings.HasPrefix(it.Key, jobPrefix):
-			err = l.decodeJob(strings.TrimPrefix(it.Key, jobPrefix), it.Value)
-		case strings.HasPrefix(it.Key, progressPrefix):
-			var v progressValue
-			err = json.Unmarshal(it.Value, &v)
-			progress[strings.TrimPrefix(it.Key, progressPrefix)] = v
 		}
 		if err != nil {
-			return errors.Annotatef(err, "decoding %q", it.Key)
+			ignored = append(ignored, errors.Annotatef(err, "decoding %q", it.Key))
 		}
 	}
-	for id, v := range progress {
+	for id, raw := range progress {
 		j, ok := l.jobs[id]
-		if !ok || j.State != "" {
-			continue
+		if !ok {
+			continue // of another writer; a job and its progress are deleted together
 		}
 		j.hasProgressItem = true
-		copy(j.Done, v.Done)
-		for name, n := range v.Failures {
-			t, err := work.ParseTaskRef(name)
-			if err != nil {
-				return err
-			}
-			j.Failures[t] = n
+		if err := j.decodeProgress(raw); err != nil {
+			j.unreadable = true
+			ignored = append(ignored, errors.Annotatef(err, "decoding the progress of job %s", id))
 		}
 	}
-	return nil
+	return ignored
 }
 
+// decodeAgents adds the enrolled agents. A list that can't be read is written anew.
 func (l *Ledger) decodeAgents(raw []byte) error {
 	var agents []string
-	if err := json.Unmarshal(raw, &agents); err != nil {
+	err := json.Unmarshal(raw, &agents)
+	if err == nil && agents == nil {
+		err = errors.NotValidf("no list")
+	}
+	if err != nil {
+		l.enrollmentUnknown, l.enrollmentChanged = true, true
 		return err
 	}
 	for _, a := range agents {
@@ -130,35 +135,101 @@
 	return nil
 }
 
-func (l *Ledger) decodeJob(id string, raw []byte) error {
+func (l *Ledger) addOpen(id string, raw []byte) error {
+	j, err := decodeJob(id, raw)
+	if err == nil {
+		l.jobs[id] = j
+	}
+	return err
+}
+
+// decodeJob decodes the item of an open job.
+func decodeJob(id string, raw []byte) (j *Job, err error) {
 	var v jobValue
 	if err := json.Unmarshal(raw, &v); err != nil {
-		return err
+		return nil, err
 	}
-	if v.Job == nil || len(v.Job.Steps) == 0 {
-		return errors.NotValidf("item without a job")
+	if v.Job == nil || v.Job.ID != id || id == "" {
+		return nil, errors.NotValidf("item without its job")
 	}
-	j := &Job{Job: *v.Job, stored: true, maybeStored: true, Submitted: time.UnixMilli(v.Submitted)}
+	if err := v.Job.Validate(); err != nil {
+		return nil, err
+	}
+	j = &Job{Job: *v.Job, stored: true, maybeStored: true, Submitted: time.UnixMilli(v.Submitted)}
+	j.Stored, j.Left, j.Age, j.Trace = true, 0, 0, ""
 	j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
-	l.jobs[id] = j
+	return j, nil
+}
+
+// decodeProgress decodes the item with a job's progress.
+func (j *Job) decodeProgress(raw []byte) error {
+	var v progressValue
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return err
+	}
+	if len(v.Done) != j.Slots() {
+		return errors.NotValidf("%d of %d slots", len(v.Done), j.Slots())
+	}
+	for slot, indices := range v.Done {
+		slices.Sort(indices)
+		indices = slices.Compact(indices)
+		if n := len(indices); n > 0 && (indices[0] < 0 || indices[n-1] >= j.Step(slot).Count) {
+			return errors.NotValidf("tasks %d to %d of slot %d", indices[0], indices[n-1], slot)
+		}
+		v.Done[slot] = indices
+	}
+	failures := make(map[work.TaskRef]int, len(v.Failures))
+	for name, n := range v.Failures {
+		t, err := work.ParseTaskRef(name)
+		if err != nil {
+			return err
+		}
+		if t.Job != j.ID || !j.HasTask(t) || n < 0 {
+			return errors.NotValidf("%d failures of %q", n, name)
+		}
+		failures[t] = n
+	}
+	j.Done, j.Failures = v.Done, failures
 	return nil
 }
 
-// decodeEnded adds the ended jobs, except those that ended since Load and are known.
-func (l *Ledger) decodeEnded(items []store.Item) error {
+// decodeEnded decodes the item of an ended job.
+func decodeEnded(id string, raw []byte) (j *Job, err error) {
+	var v jobValue
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return nil, err
+	}
+	switch v.State {
+	case work.Completed, work.JobFailed, work.Cancelled:
+	default:
+		return nil, errors.NotValidf("state %q of an ended job", v.State)
+	}
+	if id == "" {
+		return nil, errors.NotValidf("item without a job")
+	}
+	j = &Job{stored: true, endStored: true, State: v.State, Ended: time.UnixMilli(v.Ended)}
+	j.ID = id
+	return j, nil
+}
+
+// addEnded adds the ended jobs, except those that ended since Load and are known. Items that
+// can't be read are ignored, as in decode.
+func (l *Ledger) addEnded(wall time.Time, items []store.Item) (ignored []error) {
 	for _, it := range items {
 		id := strings.TrimPrefix(it.Key, EndedPrefix)
 		if _, ok := l.jobs[id]; ok {
 			continue
 		}
-		var v jobValue
-		if err := json.Unmarshal(it.Value, &v); err != nil {
-			return errors.Annotatef(err, "decoding %q", it.Key)
+		j, err := decodeEnded(id, it.Value)
+		if err != nil {
+			ignored = append(ignored, errors.Annotatef(err, "decoding %q", it.Key))
+			continue
+		}
+		if j.Ended.After(wall) {
+			j.Ended = wall // jobs that end later are deleted after it
 		}
-		j := &Job{stored: true, endStored: true, State: v.State, Ended: time.UnixMilli(v.Ended)}
-		j.ID = id
 		l.jobs[id] = j
 		l.ended = append(l.ended, j)
 	}
-	return nil
+	return ignored
 }
--- a/ledger/result.go
+++ b/ledger/result.go
@@ -1,12 +1,9 @@
 package ledger
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"masticbay/store"
 )
 
@@ -26,7 +23,8 @@
 	case acquire:
 		l.acquiring, l.phase = false, loading
 	}
-	l.rev, l.tenure = rev, p.tenure
+	l.setRevision(rev)
+	l.tenure = p.tenure
 	// Earlier unanswered commits can no longer succeed: the revision has changed.
 	for _, earlier := range l.unanswered {
 		l.retry(earlier)
@@ -116,19 +114,12 @@
 // Conflict takes the tenure's key as it is when a commit's condition does not hold.
 // Either an earlier transmission of the tenure's commit succeeded, or another entry
 // holds the tenure now. In the second case deposed is true if this entry held it, and
-// everything that was not committed is discarded.
+// everything that was not committed is discarded. An error says why the holder is unknown.
 func (l *Ledger) Conflict(p *PendingCommit, it store.Item) (changes []Change, deposed bool, err error) {
 	if p != l.tenureCommit && !slices.Contains(l.inFlight, p) {
 		return nil, false, nil
 	}
-	var t tenure
-	if it.Revision > 0 {
-		if err := json.Unmarshal(it.Value, &t); err != nil {
-			p.awaitsResult = false
-			return nil, false, errors.Annotatef(err, "decoding %q", it.Key)
-		}
-	}
-	if p.kind != plain && t == p.tenure {
+	if t, err := decodeTenure(it); err == nil && p.kind != plain && t == p.tenure {
 		return l.Committed(p, it.Revision), false, nil
 	}
 	deposed = l.phase >= loading
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -24,7 +24,9 @@
 	// task is placed until each of them has confirmed this tenure, or until
 	// LeasesEndAt, when the leases that the previous holder granted have expired.
 	PreviousAgents []string
-	LeasesEndAt    time.Time
+	// PreviousUnknown is set if PreviousAgents may lack some.
+	PreviousUnknown bool
+	LeasesEndAt     time.Time
 }
 
 // RunEnd is the end of a run of a stored job, as done or failed, that the home has to
@@ -212,6 +214,9 @@
 	if now.After(c.tenure.LeasesEndAt) {
 		return true
 	}
+	if c.tenure.PreviousUnknown {
+		return false
+	}
 	for _, name := range c.tenure.PreviousAgents {
 		if t, ok := c.targets[name]; !ok || t.confirmedEpoch != c.tenure.Epoch {
 			return false
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -206,3 +206,19 @@
 	h.confirm("a", 2, []schedule.Kept{{Run: run("j", 0, 5)}})
 	h.wantStarts("a", 0)
 }
+
+// TestUnknownPreviousAgentsDelayStarts guards against a double run: the list of the agents that
+// the previous home had is lost.
+func TestUnknownPreviousAgentsDelayStarts(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 4)
+	h.c.SetTenure(h.now, schedule.Tenure{Epoch: 2, Until: h.now.Add(time.Hour), Agents: map[string]bool{"a": true}, PreviousUnknown: true, LeasesEndAt: h.now.Add(6 * time.Second)})
+	h.restore("j", 1)
+	h.confirm("a", 2, nil)
+	h.wantStarts("a", 0)
+	h.now = h.now.Add(6*time.Second + time.Millisecond)
+	h.confirm("a", 2, nil)
+	h.c.Tick(h.now)
+	h.collect()
+	h.wantStarts("a", 1)
+}
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -69,10 +69,10 @@
 	next, err := h.ledger.Next(now, h.e.wall())
 	incomplete := h.ledger.Held() && !h.ledger.EndedLoaded()
 	h.mu.Unlock()
+	if err != nil {
+		h.e.log.Error().Err(err).Msg("ledger: changes dropped that cannot be encoded")
+	}
 	switch {
-	case err != nil:
-		h.e.log.Error().Err(err).Msg("ledger: cannot encode a commit")
-		return tenureRenewInterval
 	case next != nil:
 		go h.sendCommit(next)
 		return 0
@@ -103,7 +103,6 @@
 	h.holderTerm = term
 	if err := h.ledger.SetHolder(it); err != nil {
 		h.e.log.Error().Err(err).Msg("ledger: cannot decode the holder")
-		return tenureRenewInterval
 	}
 	if h.ledger.Vacant() {
 		// Restarted agents wait for this before they take tasks.
@@ -139,10 +138,7 @@
 	if err != nil {
 		return h.storeUnanswered(h.e.now(), err)
 	}
-	if err := h.ledger.Load(items); err != nil {
-		h.e.log.Error().Err(err).Msg("ledger: cannot decode the open jobs")
-		return tenureRenewInterval
-	}
+	h.logIgnored(h.ledger.Load(items))
 	now := h.e.now()
 	h.previousAgents, h.clear = h.ledger.Enrolled(), now.Add(previousRunsEndAfter)
 	h.updateTenure(now)
@@ -164,14 +160,21 @@
 	if err != nil {
 		return h.storeUnanswered(h.e.now(), err)
 	}
-	if err := h.ledger.LoadEnded(items); err != nil {
-		h.e.log.Error().Err(err).Msg("ledger: cannot decode the ended jobs")
-		return tenureRenewInterval
-	}
+	h.logIgnored(h.ledger.LoadEnded(h.e.wall(), items))
 	h.e.log.Info().Uint64("epoch", h.ledger.Epoch()).Int("items", len(items)).Msg("ledger read whole")
 	return 0
 }
 
+// logIgnored logs why items of the ledger were ignored.
+func (h *home) logIgnored(ignored []error) {
+	for _, err := range ignored[:min(len(ignored), maxIgnoredLines)] {
+		h.e.log.Error().Err(err).Int("items", len(ignored)).Msg("ledger: item ignored")
+	}
+}
+
+// maxIgnoredLines is the most log lines about the ignored items of one list.
+const maxIgnoredLines = 20
+
 // restoreJob adds a stored job to the core. The caller holds mu.
 func (h *home) restoreJob(now time.Time, j *ledger.Job) {
 	w := j.Job
@@ -190,7 +193,7 @@
 	if h.ledger.Held() {
 		t = schedule.Tenure{
 			Epoch: h.ledger.Epoch(), Until: h.ledger.RenewedAt().Add(tenureDuration - tenureMargin),
-			Agents: make(map[string]bool), PreviousAgents: h.previousAgents, LeasesEndAt: h.clear,
+			Agents: make(map[string]bool), PreviousAgents: h.previousAgents, PreviousUnknown: !h.ledger.EnrollmentKnown(), LeasesEndAt: h.clear,
 		}
 		for _, a := range h.ledger.Enrolled() {
 			t.Agents[a] = true
@@ -216,7 +219,6 @@
 		sent := h.sentJobs() // the ledger forgets them when it is deposed
 		if changes, deposed, err = h.ledger.Conflict(pending, conflict.Current); err != nil {
 			h.e.log.Error().Err(err).Msg("ledger: cannot decode the holder")
-			return
 		}
 		h.e.log.Info().Bool("deposed", deposed).Str("holder", h.ledger.Holder()).Uint64("revision", conflict.Current.Revision).Msg("ledger: the condition of a commit does not hold")
 		if deposed {
--- a/work/validate.go
+++ b/work/validate.go
@@ -11,6 +11,9 @@
 const (
 	maxTasks    = 50_000 // of all occurrences
 	maxEstimate = 30 * 24 * time.Hour
+	maxChain    = 365 * 24 * time.Hour       // of the estimates of all steps
+	maxSchedule = 100 * 365 * 24 * time.Hour // from the first occurrence to the last one
+	maxYear     = 9000                       // of the first occurrence; JSON holds years up to 9999
 )
 
 // Validate checks that a job can be processed, whoever sent it. The error is one of
@@ -22,7 +25,13 @@
 	if j.Times < 0 || j.Times > maxTasks {
 		return errors.NotValidf("job of %d occurrences", j.Times)
 	}
-	tasks := 0
+	if j.Every < 0 || j.Times > 1 && j.Every > maxSchedule/time.Duration(j.Times) {
+		return errors.NotValidf("job of %d occurrences, one every %v", j.Times, j.Every)
+	}
+	if y := j.First.Year(); y < 0 || y > maxYear {
+		return errors.NotValidf("job whose first occurrence is in the year %d", y)
+	}
+	tasks, chain := 0, time.Duration(0)
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count < 1 || s.Count > maxTasks {
@@ -34,6 +43,9 @@
 		if s.Room.CPU < 0 || s.Room.Memory < 0 || s.Room.GPUs < 0 || s.MaxPerOne < 0 || s.Estimate < 0 || s.Estimate > maxEstimate {
 			return errors.NotValidf("step %d that needs %+v for %v, %d on one worker", i, s.Room, s.Estimate, s.MaxPerOne)
 		}
+		if chain += s.Estimate; chain > maxChain {
+			return errors.NotValidf("job whose steps take more than %v", time.Duration(maxChain))
+		}
 		for _, k := range s.After {
 			if k < 0 || k >= i {
 				return errors.NotValidf("step %d after step %d", i, k)
--- a/work/validate_test.go
+++ b/work/validate_test.go
@@ -1,6 +1,8 @@
 package work_test
 
 import (
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +22,10 @@
 		"overflow":              {Times: 1 << 62, Steps: []work.Step{valid}},
 		"negative CPU":          {Steps: []work.Step{{Count: 1, Room: work.Room{CPU: -1}}}},
 		"negative estimate":     {Steps: []work.Step{{Count: 1, Estimate: -time.Second}}},
+		"negative interval":     {Times: 2, Every: -time.Second, Steps: []work.Step{valid}},
+		"overflowing interval":  {Times: 3, Every: math.MaxInt64, Steps: []work.Step{valid}},
+		"year that JSON lacks":  {Times: 1, First: time.UnixMilli(1e15), Steps: []work.Step{valid}},
+		"overflowing chain":     {Steps: slices.Repeat([]work.Step{{Count: 1, Estimate: 29 * 24 * time.Hour}}, 5000)},
 		"after itself":          {Steps: []work.Step{{Count: 1, After: []int{0}}}},
 		"after a later step":    {Steps: []work.Step{{Count: 1, After: []int{1}}, {Count: 1}}},
 	} {
--- a/work/work.go
+++ b/work/work.go
@@ -80,9 +80,13 @@
 // Objective returns the soft deadline of a job, counted from its submission, when its
 // longest chain of tasks takes chain on a worker that is not slow.
 func (q *Queue) Objective(chain time.Duration) time.Duration {
-	return time.Duration(float64(chain)*max(q.Stretch, 1)) + q.Target
+	objective := float64(chain)*max(q.Stretch, 1) + float64(q.Target)
+	return time.Duration(min(max(objective, 0), float64(maxObjective)))
 }
 
+// maxObjective bounds an objective, so that times after it can be computed.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // Job is a job as its caller submitted it.
 type Job struct {
 	ID          string        `json:"id"`
