Let no odd number in a peer's message outlast it

One reply of an agent with a stamp out of range made its home take all later reports for overtaken ones, so the agent's worker was lost to the site; one with such an acknowledgement made the home forget its orders. One greeting did the same to an entry by its stamp or session. An echo later than the receiver's own time counted as contact, and such a renewal kept a tenure for good.

A stamp that is lower by more than an exchange takes now replaces the last one. Sessions have a limit. An echo or a renewal of a time to come is no contact, or counts as now; a process issues no such stamp.

--- a/bench/replay.go
+++ b/bench/replay.go
@@ -174,7 +174,7 @@
 	if h.down {
 		return
 	}
-	w.guard.RecordContact(h.name, r.now())
+	w.guard.RecordContact(r.now(), h.name, r.now())
 	incarnation, acked := h.core.LastReceived(w.agent)
 	if incarnation == "" {
 		acked = 0
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -17,7 +17,7 @@
 func (m *agentMethods) Sync(args *SyncArgs, reply *SyncReply) error {
 	a := m.a
 	a.mu.Lock()
-	a.guard.RecordContact(args.Home, fromStamp(args.Echo))
+	a.guard.RecordContact(a.now(), args.Home, fromStamp(args.Echo))
 	wasPaused := a.guard.RenewalPaused()
 	if args.Life == a.life {
 		a.applyTenure(args)
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -86,7 +86,7 @@
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
-	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp {
+	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp || known.stamp-g.Stamp > maxReplyAge {
 		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp}
 	}
 	e.mu.Unlock()
--- a/site/home.go
+++ b/site/home.go
@@ -105,6 +105,10 @@
 	}
 }
 
+// maxSession bounds the numbers of sessions, so that an odd one does not shut out those after it.
+// An entry starts one for each home that it loses.
+const maxSession = 1 << 24
+
 // recordContact records a message of another entry. A new session ends the entry's
 // earlier ones.
 func (h *home) recordContact(life string, session uint64, echo time.Duration) {
@@ -123,13 +127,15 @@
 // the present; only the first greetings of an entry have none.
 func (h *home) recordContactLocked(c entrySession, echo time.Duration) bool {
 	previous := h.entries[c.life]
-	if c.session < previous.session {
+	if c.session < previous.session || c.session > maxSession {
 		return false
 	}
 	now := h.e.now()
 	contact := now
-	if echoed := fromStamp(echo); echo > 0 && c.life != h.e.life && echoed.Before(now) {
-		contact = echoed
+	if echo > 0 && c.life != h.e.life {
+		if contact = fromStamp(echo); contact.After(now) {
+			return false // not a stamp of this home
+		}
 	}
 	if contact.Before(previous.lastContact) {
 		contact = previous.lastContact
--- a/site/link.go
+++ b/site/link.go
@@ -158,6 +158,10 @@
 	return t
 }
 
+// maxReplyAge is longer than any exchange between two processes; replies may overtake one another
+// by less.
+const maxReplyAge = time.Second
+
 // takeReply processes the reply of an exchange: the agent's incarnation, its
 // acknowledgement of orders and its report. The caller holds home.mu.
 func (l *link) takeReply(rep *SyncReply) {
@@ -168,11 +172,12 @@
 		l.target = rep.Report.Target
 		l.targetVersion = rep.Target
 	}
-	stale := rep.Stamp < l.echo
-	if rep.Stamp > l.echo {
+	// A reply that is older by more than an exchange takes shows that echo was out of range.
+	stale := rep.Stamp < l.echo && l.echo-rep.Stamp <= maxReplyAge
+	if !stale && rep.Stamp != l.echo {
 		l.echo, l.echoReceived = rep.Stamp, l.h.e.now()
 	}
-	for len(l.orders) > 0 && l.orders[0].Seq <= rep.Taken {
+	for len(l.orders) > 0 && l.orders[0].Seq <= rep.Taken && rep.Taken <= l.h.lastOrder {
 		l.orders = l.orders[1:]
 	}
 	if stale && len(rep.Report.Events) == 0 {
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -27,9 +27,10 @@
 }
 
 // RecordContact records contact with an entry: the entry has echoed a time of the agent's clock.
-func (g *Guard) RecordContact(entry string, echo time.Time) {
+// A time that is yet to come is no echo.
+func (g *Guard) RecordContact(now time.Time, entry string, echo time.Time) {
 	s := g.homeState(entry)
-	if echo.After(s.lastContact) {
+	if echo.After(s.lastContact) && !echo.After(now) {
 		s.lastContact = echo
 	}
 }
--- a/worker/order.go
+++ b/worker/order.go
@@ -18,7 +18,7 @@
 // Order takes starts and stops from an entry. Starts that are refused produce
 // events at once. The stops apply to the starts too.
 func (g *Guard) Order(now time.Time, entry string, echo time.Time, starts []work.Start, stops []work.Run) {
-	g.RecordContact(entry, echo)
+	g.RecordContact(now, entry, echo)
 	for _, s := range starts {
 		if reason := g.refusalReason(now, entry, echo, &s); reason != "" {
 			g.addEvent(entry, Event{Run: s.Run, End: work.Refused, Reason: reason})
@@ -39,7 +39,7 @@
 const (
 	Unready   = "unready"   // the worker is unknown, draining, out of contact or without renewal of its lease
 	Untenured = "untenured" // the agent does not know the entry as holder of the ledger
-	StaleEcho = "staleEcho" // the order may have been in transit for too long
+	StaleEcho = "staleEcho" // the order may have been in transit for too long, or the echo is none of this agent's times
 	Occupied  = "occupied"  // another run of the task has not ended here
 	NoRoom    = "noRoom"
 	SealedJob = "sealed" // another home has the job
@@ -55,7 +55,7 @@
 		return Unready
 	case s.Stored && !g.holdsTenure(now, entry):
 		return Untenured
-	case now.Sub(echo) > g.cfg.OrderMaxAge:
+	case now.Sub(echo) > g.cfg.OrderMaxAge, echo.After(now):
 		return StaleEcho
 	case occupied:
 		return Occupied
--- a/worker/seal_test.go
+++ b/worker/seal_test.go
@@ -17,7 +17,7 @@
 
 // seal seals the job for e2, the next home.
 func (d *driver) seal(upTo int) {
-	d.g.RecordContact("e2", d.now)
+	d.g.RecordContact(d.now, "e2", d.now)
 	d.g.Seal(d.now, "e2", []worker.Seal{{Job: "j", UpTo: upTo}})
 }
 
@@ -197,8 +197,8 @@
 	d.seal(1000)
 	tick := func() {
 		d.advance(cfg.SealRetention + time.Millisecond)
-		d.g.RecordContact("e1", d.now)
-		d.g.RecordContact("e2", d.now)
+		d.g.RecordContact(d.now, "e1", d.now)
+		d.g.RecordContact(d.now, "e2", d.now)
 		d.g.Tick(d.now)
 		d.g.Take()
 	}
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -25,6 +25,9 @@
 // ApplyTenure applies an entry's tenure. The first entry with a higher epoch takes over
 // the runs of stored jobs and the events that are not committed.
 func (g *Guard) ApplyTenure(now time.Time, entry string, t Tenure) {
+	if t.RenewedAt.After(now) {
+		t.RenewedAt = now
+	}
 	switch {
 	case t.Vacant && g.tenure.Epoch == 0:
 		g.mayListInherited, g.renewalPausedAt = false, time.Time{}
--- a/worker/tenure_test.go
+++ b/worker/tenure_test.go
@@ -10,7 +10,7 @@
 
 // applyTenure gives an entry the tenure of an epoch.
 func (d *driver) applyTenure(entry string, epoch uint64) {
-	d.g.RecordContact(entry, d.now)
+	d.g.RecordContact(d.now, entry, d.now)
 	d.g.ApplyTenure(d.now, entry, worker.Tenure{Epoch: epoch, RenewedAt: d.now})
 }
 
@@ -78,7 +78,7 @@
 	d := newDriverWithTenure(t)
 	for range 60 { // the entry stays in contact
 		d.advance(100 * time.Millisecond)
-		d.g.RecordContact("e1", d.now)
+		d.g.RecordContact(d.now, "e1", d.now)
 		d.answerPoll(0)
 		d.g.Tick(d.now)
 	}
--- a/worker/withhold_test.go
+++ b/worker/withhold_test.go
@@ -43,14 +43,14 @@
 	d.orderStop(run(0, 1))
 	for range 3 { // repeated stops do not extend the time
 		d.advance(stopTime / 3)
-		d.g.RecordContact("e1", d.now)
+		d.g.RecordContact(d.now, "e1", d.now)
 		d.answerPoll(10, run(0, 1))
 	}
 	d.wantRenewed(true)
 	d.advance(time.Millisecond)
 	d.wantRenewed(false)
 	d.advance(cfg.Lease / 2)
-	d.g.RecordContact("e1", d.now)
+	d.g.RecordContact(d.now, "e1", d.now)
 	d.answerPoll(20, run(0, 1))
 	d.wantRenewed(false)
 	d.answerPollWithEnd(work.Stopped, run(0, 1))
@@ -108,7 +108,7 @@
 	d.orderStop(run(0, 1))
 	d.g.Take()
 	d.advance(stopTime + time.Millisecond)
-	d.g.RecordContact("e1", d.now)
+	d.g.RecordContact(d.now, "e1", d.now)
 	if n := len(d.order(start(3, 1, 10))); n != 0 {
 		t.Errorf("%d starts sent, want none", n)
 	}
