Order configurations by the revision of their key

Same report of other operators, for the watched key of the configuration: after one with the highest version, an entry ignored all later ones (CONFIG), and one without routes dropped all routes.

The store's revision of the key orders configurations now, also those that entries fetch from one another, so the next one that the operator writes replaces an odd one. If an entry got a revision that the store had not reached when it was read afterwards, what the store has replaces it.

TestOddConfigurationOutlastsItsMessage.

--- a/site/entry.go
+++ b/site/entry.go
@@ -57,7 +57,7 @@
 	stop           chan struct{}
 	home           *home
 	knownEntries   entryList
-	config         atomic.Pointer[platform.Config]
+	config         atomic.Pointer[configInForce]
 	leaving        atomic.Bool
 	ending         context.Context // done when open requests must be answered at once
 	answerAll      context.CancelCauseFunc
--- a/site/entry_config.go
+++ b/site/entry_config.go
@@ -30,13 +30,64 @@
 			return
 		case <-time.After(pause):
 		}
-		it, _, err := e.store.Get(context.Background(), platform.ConfigKey)
+		before := e.config.Load()
+		it, asOf, err := e.store.Get(context.Background(), platform.ConfigKey)
 		if err != nil {
 			e.log.Debug().Err(err).Msg("configuration not read")
 			continue
 		}
-		e.applyConfig(it.Value, "store, read")
+		if before != nil && asOf > 0 && asOf < before.revision {
+			// The message that brought it was odd: the store had no such revision.
+			e.log.Error().Uint64("version", before.Version()).Uint64("revision", before.revision).Uint64("store", asOf).Msg("configuration of an unknown revision replaced")
+			e.replaceConfig(it.Value, it.Revision, "store, read", before)
+			continue
+		}
+		e.applyConfig(it.Value, it.Revision, "store, read")
+	}
+}
+
+// configInForce is a configuration and the revision of its key in the store, by which
+// configurations are ordered: a version may be out of range, but does not outlast the next
+// one then.
+type configInForce struct {
+	*platform.Config
+	revision uint64 // 0 if it is not known
+}
+
+// replaces reports whether c is newer than the configuration in force, which may be nil.
+func (c *configInForce) replaces(old *configInForce) bool {
+	switch {
+	case old == nil:
+		return true
+	case c.revision > 0 && old.revision > 0:
+		return c.revision > old.revision
+	}
+	return c.Version() > old.Version()
+}
+
+// applyConfig puts a configuration in force unless the current one is as new.
+func (e *Entry) applyConfig(raw []byte, revision uint64, from string) {
+	e.replaceConfig(raw, revision, from, nil)
+}
+
+// replaceConfig is applyConfig; invalid is replaced by an older one, too.
+func (e *Entry) replaceConfig(raw []byte, revision uint64, from string, invalid *configInForce) {
+	decoded, err := platform.DecodeConfig(raw)
+	if err != nil {
+		e.log.Error().Err(err).Str("from", from).Msg("cannot decode the configuration")
+		return
+	}
+	c := &configInForce{decoded, revision}
+	for {
+		old := e.config.Load()
+		if !c.replaces(old) && old != invalid {
+			return
+		}
+		if e.config.CompareAndSwap(old, c) {
+			break
+		}
 	}
+	e.log.Info().Uint64("version", c.Version()).Uint64("revision", revision).Str("from", from).Msg("configuration in force")
 }
 
 // The intervals of configReadDuty. A configuration must be in force 2 s after it was
@@ -91,7 +142,7 @@
 		if err != nil {
 			return 0, err
 		}
-		e.applyConfig(it.Value, "store")
+		e.applyConfig(it.Value, it.Revision, "store")
 		return max(asOf, it.Revision), nil
 	}
 	items, next, err := e.store.Watch(ctx, platform.ConfigKey, rev, configWatchTimeout)
@@ -100,7 +151,7 @@
 	}
 	for _, it := range items {
 		if it.Key == platform.ConfigKey {
-			e.applyConfig(it.Value, "store")
+			e.applyConfig(it.Value, it.Revision, "store")
 		}
 	}
 	return max(next, rev), nil
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"masticbay/platform"
 	"masticbay/roster"
 	"masticbay/wire"
 )
@@ -46,7 +45,7 @@
 // Config returns the configuration in force; nothing if there is none yet.
 func (m *entryMethods) Config(_ *ConfigArgs, reply *ConfigReply) error {
 	if c := m.e.config.Load(); c != nil {
-		reply.Raw = c.Raw()
+		reply.Raw, reply.Revision = c.Raw(), c.revision
 	}
 	return nil
 }
@@ -233,31 +232,12 @@
 		return
 	}
 	if len(rep.Raw) > 0 {
-		e.applyConfig(rep.Raw, "entry "+address)
+		e.applyConfig(rep.Raw, rep.Revision, "entry "+address)
 	}
 }
 
 const fetchTimeout = time.Second
 
-// applyConfig puts a configuration in force unless the current one is as new.
-func (e *Entry) applyConfig(raw []byte, from string) {
-	c, err := platform.DecodeConfig(raw)
-	if err != nil {
-		e.log.Error().Err(err).Str("from", from).Msg("cannot decode the configuration")
-		return
-	}
-	for {
-		old := e.config.Load()
-		if old != nil && old.Version() >= c.Version() {
-			return
-		}
-		if e.config.CompareAndSwap(old, c) {
-			break
-		}
-	}
-	e.log.Info().Uint64("version", c.Version()).Str("from", from).Msg("configuration in force")
-}
-
 // IsHome reports whether this entry is home.
 func (e *Entry) IsHome() bool {
 	m, ok := e.currentHome()
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -62,7 +62,7 @@
 
 // awaitConfig returns the configuration in force. An entry that has just started waits
 // for it up to configWait; the result is nil if there is none then.
-func (e *Entry) awaitConfig(ctx context.Context) *platform.Config {
+func (e *Entry) awaitConfig(ctx context.Context) *configInForce {
 	for e.config.Load() == nil && ctx.Err() == nil && e.now().Sub(e.startedAt) < configWait {
 		sleep(ctx, homePollInterval)
 	}
@@ -86,7 +86,7 @@
 // defaultBodyLimit bounds request bodies if the configuration does not.
 const defaultBodyLimit = 1 << 20 // bytes
 
-func (e *Entry) servePost(w http.ResponseWriter, r *http.Request, cfg *platform.Config, q work.Queue, id string) {
+func (e *Entry) servePost(w http.ResponseWriter, r *http.Request, cfg *configInForce, q work.Queue, id string) {
 	receivedAt := e.now()
 	limit := cfg.Limits().BodyBytes
 	if limit <= 0 {
--- a/site/messages.go
+++ b/site/messages.go
@@ -130,7 +130,8 @@
 
 // ConfigReply carries the configuration as the operator wrote it.
 type ConfigReply struct {
-	Raw []byte
+	Raw      []byte
+	Revision uint64 // of its key in the store
 }
 
 // AcceptArgs hands a job to the home to be stored.
--- a/site/odd_test.go
+++ b/site/odd_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -74,3 +75,26 @@
 		t.Error("a true echo does not count")
 	}
 }
+
+// TestOddConfigurationOutlastsItsMessage guards against an entry that ignores all later
+// configurations after one with a version or a revision out of range.
+func TestOddConfigurationOutlastsItsMessage(t *testing.T) {
+	config := func(version uint64) []byte { return fmt.Appendf(nil, `{"version":%d,"routes":[]}`, version) }
+	e := testEntry()
+	e.applyConfig(config(7), 100, "store")
+	e.applyConfig(config(math.MaxUint64), 101, "store")
+	e.applyConfig(config(8), 102, "store")
+	if c := e.config.Load(); c == nil || c.Version() != 8 {
+		t.Errorf("in force %+v, want version 8", c)
+	}
+	e.applyConfig(config(7), 100, "a late reply")
+	e.applyConfig([]byte(`{"version":9}`), 103, "another writer")
+	if c := e.config.Load(); c.Version() != 8 {
+		t.Errorf("in force %+v, want version 8", c)
+	}
+	e.applyConfig(config(9), math.MaxUint64, "an odd reply")
+	e.replaceConfig(config(8), 102, "store, read", e.config.Load())
+	if c := e.config.Load(); c.Version() != 8 || c.revision != 102 {
+		t.Errorf("in force %+v, want version 8 at revision 102", c)
+	}
+}
