--- a/entry/methods.go
+++ b/entry/methods.go
@@ -187,8 +187,9 @@
 
 // Lookup returns a job of this entry.
 func (m *methods) Lookup(args *wire.LookupArgs, rep *wire.LookupReply) error {
-	rep.Answer, rep.Found = m.e.lookupHere(context.Background(), args.Key, args.Wait)
-	return nil
+	ans, found, err := m.e.lookupHere(context.Background(), args.Key, args.Wait)
+	rep.Answer, rep.Found = ans, found
+	return err
 }
 
 // Cancel cancels a job of this entry.
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -62,21 +63,19 @@
 		}
 		if next.ID != e.id {
 			rep, err := e.forward(ctx, next, &s)
-			switch {
-			case ctx.Err() != nil:
+			if ctx.Err() != nil {
 				return job.Answer{}, ctx.Err()
-			case err != nil:
-				s.recordFailure(next, !errors.Is(err, wire.ErrNotSent))
-				next = e.homeFor(&s)
-				continue
-			case rep.Refused != nil && acceptableElsewhere(rep.Refused.Code):
-				s.recordFailure(next, false)
+			}
+			switch s.recordForward(next, rep, err) {
+			case forwardAnswered:
+				return *rep.Answer, nil
+			case forwardRefused:
+				return job.Answer{}, rep.Refused
+			case forwardUnresolved:
+				return e.unresolvedAnswer(&s), nil
+			case forwardFailed:
 				next = e.homeFor(&s)
 				continue
-			case rep.Refused != nil:
-				return job.Answer{}, rep.Refused
-			case rep.Answer != nil:
-				return *rep.Answer, nil
 			}
 		}
 		out, err := e.runHere(ctx, &s)
@@ -92,6 +91,36 @@
 	return e.unresolvedAnswer(&s), nil
 }
 
+// forwardResult tells what follows from forwarding a submission to another entry.
+type forwardResult int
+
+const (
+	forwardAnswered   forwardResult = iota
+	forwardRefused                  // nothing of the submission ran
+	forwardUnresolved               // it was refused, but may have run at an earlier entry
+	forwardFailed                   // another entry may accept it
+	forwardReturned                 // this entry has to run it
+)
+
+// recordForward records how an entry answered a submission that was forwarded to it.
+func (s *submission) recordForward(to member.Entry, rep *wire.SubmitReply, err error) forwardResult {
+	switch {
+	case err != nil:
+		s.recordFailure(to, !errors.Is(err, wire.ErrNotSent))
+		return forwardFailed
+	case rep.Refused != nil && acceptableElsewhere(rep.Refused.Code):
+		s.recordFailure(to, false)
+		return forwardFailed
+	case rep.Refused != nil && s.mayHaveRunElsewhere:
+		return forwardUnresolved
+	case rep.Refused != nil:
+		return forwardRefused
+	case rep.Answer != nil:
+		return forwardAnswered
+	}
+	return forwardReturned
+}
+
 // recordFailure records that an entry did not accept the submission. If that
 // entry may have run it nevertheless, the next one has to claim the job.
 func (s *submission) recordFailure(by member.Entry, mayHaveRun bool) {
@@ -254,19 +283,22 @@
 }
 
 // Lookup returns a job's answer, waiting for it if wait is set, or its counts
-// while it runs. If this entry does not know the job, it asks the others.
-func (e *Entry) Lookup(ctx context.Context, k job.Key, wait bool) (ans job.Answer, found bool) {
-	if ans, found = e.lookupHere(ctx, k, wait); found {
-		return ans, true
+// while it runs. If this entry does not know the job, it asks the others. After an error
+// some entry did not answer, and the job may be known there.
+func (e *Entry) Lookup(ctx context.Context, k job.Key, wait bool) (ans job.Answer, found bool, err error) {
+	defer func() { err = errors.Annotatef(err, "looking up job %s", k) }()
+	if ans, found, err = e.lookupHere(ctx, k, wait); found {
+		return ans, true, nil
 	}
 	for _, c := range e.otherClients() {
 		args := wire.LookupArgs{Key: k, Wait: wait}
-		rep, err := wire.Call[wire.LookupArgs, wire.LookupReply](ctx, c, wire.EntryLookup, &args)
-		if err == nil && rep.Found {
-			return rep.Answer, true
+		rep, callErr := wire.Call[wire.LookupArgs, wire.LookupReply](ctx, c, wire.EntryLookup, &args)
+		if callErr == nil && rep.Found {
+			return rep.Answer, true, nil
 		}
+		err = cmp.Or(err, callErr)
 	}
-	return job.Answer{}, false
+	return job.Answer{}, false, err
 }
 
 // otherClients returns clients of the other listed entries.
@@ -280,7 +312,7 @@
 }
 
 // lookupHere is Lookup for the jobs of this entry.
-func (e *Entry) lookupHere(ctx context.Context, k job.Key, wait bool) (ans job.Answer, found bool) {
+func (e *Entry) lookupHere(ctx context.Context, k job.Key, wait bool) (ans job.Answer, found bool, err error) {
 	ch := make(chan outcome, 1)
 	current, err := callCore(ctx, e, func(time.Time) (ans *job.Answer) {
 		known, ok := e.core.dispatch.Lookup(k)
@@ -293,36 +325,38 @@
 		return &known
 	})
 	if err != nil || current == nil {
-		return ans, false
+		return ans, false, err
 	}
 	ans = *current
 	if !wait || ans.Status != job.StatusRunning {
-		return ans, true
+		return ans, true, nil
 	}
 	select {
 	case out := <-ch:
 		if out.answer != nil {
-			return *out.answer, true
+			return *out.answer, true, nil
 		}
 	case <-ctx.Done():
 	case <-e.stop:
 	}
-	return ans, true
+	return ans, true, nil
 }
 
 // Cancel cancels a job here or at the entry that has it. It reports whether any
-// entry knows the job.
-func (e *Entry) Cancel(ctx context.Context, k job.Key) (found bool) {
-	found, _ = callCore(ctx, e, func(now time.Time) bool { return e.core.dispatch.Cancel(now, k) })
+// entry knows the job. After an error some entry did not answer, and may have cancelled it.
+func (e *Entry) Cancel(ctx context.Context, k job.Key) (found bool, err error) {
+	defer func() { err = errors.Annotatef(err, "cancelling job %s", k) }()
+	found, err = callCore(ctx, e, func(now time.Time) bool { return e.core.dispatch.Cancel(now, k) })
 	if found {
-		return true
+		return true, nil
 	}
 	for _, c := range e.otherClients() {
 		args := wire.CancelArgs{Key: k}
-		rep, err := wire.Call[wire.CancelArgs, wire.CancelReply](ctx, c, wire.EntryCancel, &args)
-		if err == nil && rep.Found {
-			return true
+		rep, callErr := wire.Call[wire.CancelArgs, wire.CancelReply](ctx, c, wire.EntryCancel, &args)
+		if callErr == nil && rep.Found {
+			return true, nil
 		}
+		err = cmp.Or(err, callErr)
 	}
-	return false
+	return false, err
 }
--- a/entry/web_lookup.go
+++ b/entry/web_lookup.go
@@ -9,7 +9,11 @@
 
 // handleLookup returns a job; with ?wait=true it waits for the answer.
 func (e *Entry) handleLookup(w http.ResponseWriter, r *http.Request) {
-	ans, found := e.Lookup(r.Context(), pathKey(r), r.URL.Query().Get("wait") == "true")
+	ans, found, err := e.Lookup(r.Context(), pathKey(r), r.URL.Query().Get("wait") == "true")
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	if !found {
 		failWith(w, job.NotFound, "no such job is known here; it may have ended longer ago than answers are kept")
 		return
