Do not refuse a cancellation that may take effect

It is answered by 504 now, unless it reached no home.

TestRefusedCancellationTakesEffect failed before: "status 503 of the cancellation".

--- a/failure/fleet_refused_test.go
+++ b/failure/fleet_refused_test.go
@@ -62,3 +62,25 @@
 		})
 	}
 }
+
+// TestRefusedCancellationTakesEffect guards against a job that is cancelled although its caller was
+// told by a refusal that nothing was done.
+func TestRefusedCancellationTakesEffect(t *testing.T) {
+	runWithFleet(t, func(t *testing.T, s *fleet) {
+		const id = "9000000000000001"
+		if r := <-s.storeJob(0, id); r.Status != http.StatusOK {
+			t.Fatalf("status %d", r.Status)
+		}
+		s.store.SetFaults(standin.StoreFaults{Down: true})
+		c := s.caller()
+		c.Announced = c.Timeout / 2
+		if reply, err := c.Cancel(s.ctx, s.frontAddress(1), longQueue.Name, id); err != nil || reply.Status != http.StatusGatewayTimeout {
+			t.Errorf("status %d of the cancellation, error %v", reply.Status, err)
+		}
+		s.store.SetFaults(standin.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		if reply, err := c.State(s.ctx, s.frontAddress(1), longQueue.Name, id); err != nil || reply.State != work.Cancelled {
+			t.Errorf("state %q, error %v: the cancellation did not take effect", reply.State, err)
+		}
+	})
+}
--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -137,12 +137,20 @@
 func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request, id string) {
 	ctx, release := e.callerContext(r.Context(), platform.CallerTimeout(r, defaultCallerWait))
 	defer release()
-	rep, ok := e.askHome(ctx, func(m roster.Member) (StateReply, error) { return e.cancelAt(ctx, m, id) })
-	e.requestLog.Info().Str("job", id).Bool("answered", ok).Str("state", string(rep.State)).Msg("cancellation")
-	if r.Context().Err() != nil {
+	sent := false
+	rep, ok := e.askHome(ctx, func(m roster.Member) (StateReply, error) {
+		rep, err := e.cancelAt(ctx, m, id)
+		sent = sent || !errors.Is(err, wire.ErrNotSent)
+		return rep, err
+	})
+	e.requestLog.Info().Str("job", id).Bool("answered", ok).Bool("sent", sent).Str("state", string(rep.State)).Msg("cancellation")
+	switch {
+	case r.Context().Err() != nil:
 		return // the caller has gone
-	}
-	if !ok {
+	case !ok && sent:
+		platform.WriteUnknown(w)
+		return
+	case !ok:
 		e.logWriteError(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
 		return
 	}
