Withdraw a job also if its withdrawal arrives first

Besides, a withdrawal ended all calls of its entry for the job, also that of the caller's next attempt.

Calls have a number now. A home remembers for a while which ones were withdrawn, and takes none of them; one that arrives later than that has an echo that is too old. A withdrawal ends only its own call.

TestWithdrawalOvertakesItsJob fails without that memory: "the home took a job that was withdrawn"; TestWithdrawalEndsALaterCall needs the number.

--- a/site/entry.go
+++ b/site/entry.go
@@ -61,7 +61,8 @@
 	leaving        atomic.Bool
 	ending         context.Context // done when open requests must be answered at once
 	answerAll      context.CancelCauseFunc
-	openRequests   atomic.Int64 // requests of callers that are not answered yet
+	lastCall       atomic.Uint64 // number of the last job that was handed over
+	openRequests   atomic.Int64  // requests of callers that are not answered yet
 
 	mu           sync.Mutex // guards what follows
 	roster       *roster.Roster
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -163,7 +163,7 @@
 		out, moved = e.home.run(ctx, args)
 		return out, moved, nil
 	}
-	args.Session, args.Echo = e.addJobAt(m.Address), e.stampOf(m)
+	args.Session, args.Echo, args.Call = e.addJobAt(m.Address), e.stampOf(m), e.lastCall.Add(1)
 	if args.Echo == 0 && sendsStamps(m) {
 		e.removeJobAt(m.Address)
 		return out, true, nil // its first greeting has not been answered
@@ -183,7 +183,7 @@
 	case err == nil:
 		return rep.Outcome, rep.Moved, nil
 	case ctx.Err() != nil:
-		go e.withdrawAt(c, m, &WithdrawArgs{Entry: e.life, Session: args.Session, Job: args.Job.ID})
+		go e.withdrawAt(c, m, &WithdrawArgs{Entry: e.life, Session: args.Session, Call: args.Call, Job: args.Job.ID})
 	case !errors.Is(err, wire.ErrNotSent):
 		e.endSession(m.Address, args.Session)
 	}
@@ -322,6 +322,6 @@
 
 // Withdraw withdraws a job for another entry.
 func (m *entryMethods) Withdraw(args *WithdrawArgs, _ *WithdrawReply) error {
-	m.e.home.withdraw(entrySession{args.Entry, args.Session}, args.Job)
+	m.e.home.withdraw(entrySession{args.Entry, args.Session}, args.Job, args.Call)
 	return nil
 }
--- a/site/home.go
+++ b/site/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,8 @@
 	waiters        map[string][]*waiter    // by job
 	links          map[string]*link        // by agent
 	entries        map[string]entryContact // by incarnation
+	// withdrawnCalls holds when calls were withdrawn, which may arrive later.
+	withdrawnCalls map[entryCall]time.Time
 	// lastOrder is the number of the last order to any agent. It never restarts while
 	// the process runs, although links are replaced: agents take no number twice.
 	lastOrder uint64
@@ -78,16 +81,23 @@
 	session uint64
 }
 
+// entryCall identifies a call of an entry that hands over a job.
+type entryCall struct {
+	life string
+	call uint64
+}
+
 // waiter is an entry that waits for the outcome of a job.
 type waiter struct {
 	entry entrySession
+	call  uint64            // see RunArgs
 	done  chan work.Outcome // buffered for the one outcome
 }
 
 func newHome(e *Entry) *home {
 	h := &home{
 		e: e, log: e.requestLog, wakeup: make(chan struct{}, 1), core: schedule.NewCore(HomeConfig(e.node)),
-		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]entryContact),
+		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]entryContact), withdrawnCalls: make(map[entryCall]time.Time),
 		storedJobs: storedJobs{
 			ledgerWakeup: make(chan struct{}, 1), route: newStoreRoute(e), ledger: ledger.New(ledgerConfig(e.node), e.life),
 			acceptWaiters: make(map[string][]chan AcceptReply), endWaiters: make(map[string][]chan struct{}),
@@ -162,9 +172,9 @@
 	if args.Home == "" && !h.e.placesTasks() || args.Home != "" && args.Home != h.e.life {
 		return out, true
 	}
-	w := &waiter{entry: entrySession{args.Entry, args.Session}, done: make(chan work.Outcome, 1)}
+	w := &waiter{entry: entrySession{args.Entry, args.Session}, call: args.Call, done: make(chan work.Outcome, 1)}
 	h.mu.Lock()
-	if h.closed || !h.recordContactLocked(w.entry, args.Echo) {
+	if h.closed || !h.recordContactLocked(w.entry, args.Echo) || h.isWithdrawn(entryCall{args.Entry, args.Call}) {
 		h.mu.Unlock()
 		return out, true
 	}
@@ -185,9 +195,27 @@
 	}
 }
 
-// withdraw withdraws a job for an entry whose caller no longer waits for it.
-func (h *home) withdraw(entry entrySession, id string) {
-	h.removeWaiters(id, func(o *waiter) bool { return o.entry == entry })
+// withdraw withdraws a job for an entry whose caller no longer waits for it. The call that
+// hands the job over may arrive later, and is not taken then.
+func (h *home) withdraw(entry entrySession, id string, call uint64) {
+	h.mu.Lock()
+	if call > 0 {
+		h.withdrawnCalls[entryCall{entry.life, call}] = h.e.now()
+	}
+	h.mu.Unlock()
+	h.removeWaiters(id, func(o *waiter) bool { return o.entry == entry && (call == 0 || o.call == call) })
+}
+
+// isWithdrawn reports whether a call was withdrawn before it arrived. The caller holds mu.
+func (h *home) isWithdrawn(c entryCall) bool {
+	_, ok := h.withdrawnCalls[c]
+	return ok
+}
+
+// forgetWithdrawn forgets withdrawn calls. One that arrives later has an echo that is too old.
+// The caller holds mu.
+func (h *home) forgetWithdrawn(now time.Time) {
+	maps.DeleteFunc(h.withdrawnCalls, func(_ entryCall, at time.Time) bool { return now.Sub(at) > 2*withdrawJobsAfter })
 }
 
 // removeWaiters removes waiters of a job, and withdraws the job after the last one.
@@ -251,6 +279,7 @@
 	}
 	now := h.e.now()
 	h.dropOutOfContact(now)
+	h.forgetWithdrawn(now)
 	h.core.Tick(now)
 	h.deliverDecisions()
 	waiting, running := h.core.Load()
--- a/site/messages.go
+++ b/site/messages.go
@@ -98,6 +98,7 @@
 type RunArgs struct {
 	Entry    string // incarnation of the sender
 	Session  uint64 // rises when the sender gives up its jobs at the receiver
+	Call     uint64 // numbers the calls of the sender's incarnation, so that one can be withdrawn; 0 from earlier builds
 	Job      work.Job
 	FirstRun int           // runs of each task are numbered from FirstRun+1; above 0, another home may have started lower ones
 	LostFor  time.Duration // since the sender lost the home to which it handed the job before
@@ -119,6 +120,7 @@
 type WithdrawArgs struct {
 	Entry   string
 	Session uint64
+	Call    uint64 // that handed the job over; 0 for all calls of the session
 	Job     string
 }
 
