Count as an alternative only workers that can run the task

Cause: a job avoids workers where a task of it has failed, as long as it has another one. Any worker of the service counted as another one, also without the label or the capacity that the task needs; for a lasting job, also a worker that other lasting tasks fill.

A worker is an alternative only if it could run the task; for a lasting job it must have free capacity now, since its tasks may never end.

TestLastingTaskIsNotKeptFromItsOnlyWorkers failed before, for the label and for the capacity: "1 starts, want 2".

--- /dev/null
+++ b/schedule/avoid_test.go
@@ -0,0 +1,62 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/schedule"
+	"masticbay/work"
+)
+
+// TestLastingTaskIsNotKeptFromItsOnlyWorkers guards against a lasting task that never runs again
+// after it has failed on all workers that can run it.
+func TestLastingTaskIsNotKeptFromItsOnlyWorkers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		label string
+		fill  int // CPU of another lasting task, which fills worker b
+	}{"label": {"x", 0}, "room": {"", 40}} {
+		h := newHarness(t)
+		h.addAgent("a", 4, "x")
+		h.addAgent("b", 4)
+		h.setTenure(1)
+		h.confirm("a", 1, nil)
+		if tc.fill > 0 {
+			h.agents["a"] = work.Target{ID: "w-a", Born: 1, Service: "s", Draining: true}
+		}
+		h.confirm("a", 1, nil)
+		h.confirm("b", 1, nil)
+		if tc.fill > 0 {
+			fill := job("fill", 0, 1, 0)
+			fill.Lasts, fill.Steps[0].Room.CPU = true, tc.fill
+			h.restoreStored(fill)
+			h.wantStarts("b", 1)
+			h.agents["a"] = work.Target{ID: "w-a", Born: 1, Service: "s", Labels: []string{"x"}, Capacity: work.Room{CPU: 40}}
+			h.confirm("a", 1, nil)
+		}
+		j := job("j", 0, 1, 0)
+		j.Lasts, j.Steps[0].Label = true, tc.label
+		h.restoreStored(j)
+		h.wantStarts("a", 1)
+		h.confirm("a", 1, nil, schedule.Event{Run: h.starts["a"][0], End: work.Failed})
+		h.advanceConfirmed(3 * time.Second)
+		if n := len(h.starts["a"]); n != 2 {
+			t.Errorf("%s: %d starts, want 2", name, n)
+		}
+	}
+}
+
+// TestFailedTaskAvoidsItsWorker checks that a task goes to another worker that can run it.
+func TestFailedTaskAvoidsItsWorker(t *testing.T) {
+	h := newTenureHarness(t, 4, "a", "b")
+	j := job("j", 0, 1, 0)
+	j.Lasts = true
+	h.restoreStored(j)
+	first, other := "a", "b"
+	if len(h.starts["a"]) == 0 {
+		first, other = other, first
+	}
+	h.confirm(first, 1, nil, schedule.Event{Run: h.starts[first][0], End: work.Failed})
+	h.advanceConfirmed(time.Second)
+	h.wantStarts(first, 1)
+	h.wantStarts(other, 1)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -226,13 +226,7 @@
 // isEligible reports whether a worker may run tasks of a slot, free capacity aside.
 func (c *Core) isEligible(j *job, slot int, t *target) bool {
 	step := j.Step(slot)
-	if j.Stored && !c.tenureConfirmedBy(t) {
-		return false
-	}
-	if t.Service != j.Queue.Service || j.avoid[t.agent] && c.hasAlternative(j, t) {
-		return false
-	}
-	if step.Label != "" && !slices.Contains(t.Labels, step.Label) {
+	if !c.suits(j, step, t) || j.avoid[t.agent] && c.hasAlternative(j, step, t) {
 		return false
 	}
 	if step.MaxPerOne == 0 {
@@ -247,11 +241,18 @@
 	return n < step.MaxPerOne
 }
 
-// hasAlternative reports whether the job has another worker that it does not avoid.
-func (c *Core) hasAlternative(j *job, excluded *target) bool {
+// suits reports whether a worker could run tasks of a step if none ran there.
+func (c *Core) suits(j *job, step *work.Step, t *target) bool {
+	return (!j.Stored || c.tenureConfirmedBy(t)) && t.Service == j.Queue.Service && t.Capacity.Holds(step.Room) &&
+		(step.Label == "" || slices.Contains(t.Labels, step.Label))
+}
+
+// hasAlternative reports whether a step has another worker that its job does not avoid. For a
+// lasting job it must have free capacity, as its tasks may never end.
+func (c *Core) hasAlternative(j *job, step *work.Step, excluded *target) bool {
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if t != excluded && t.ready && !t.Draining && t.Service == j.Queue.Service && !j.avoid[name] {
+		if t != excluded && t.ready && !t.Draining && !j.avoid[name] && c.suits(j, step, t) && (!j.Lasts || t.free().Holds(step.Room)) {
 			return true
 		}
 	}
