Take the end of one task of a gang for the end of all

Cause: the tasks of a gang end as done together, and one such end represents all of them. When the agent of one task was lost, the others were done and this one was pending, and a gang is placed only if all of its tasks are pending. The ledger kept the part that was done, so that the next home inherited it.

One end as done now makes all tasks of the step done, also those that lapsed before, and so does one that the ledger has. Ends of their runs that arrive later change nothing.

TestGangOfWhichOneEndIsLostNeverEnds and TestRestoredGangIsDoneOnceOneOfItsTasksIs failed before: "job j ended as \"\" (), want \"completed\"".

--- a/schedule/end.go
+++ b/schedule/end.go
@@ -53,6 +53,8 @@
 			Values: map[string]float64{"tookMs": ms(e.Took), "expectedMs": ms(tk.expected)}})
 	}
 	switch {
+	case tk.state == done:
+		// The end of another task of its gang stands for this one.
 	case j.Lasts:
 		c.backOff(now, t, e)
 		c.restartTask(now, t, j, slot, index, e.End)
@@ -74,10 +76,16 @@
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// finishTask marks a task as done, and answers its job if it was the last one.
+// finishTask marks a task as done, and answers its job if it was the last one. The tasks of a
+// gang are done together.
 func (c *Core) finishTask(now time.Time, j *job, slot, index int) {
-	j.tasks[slot][index].state = done
-	j.unfinished[slot]--
+	first, last := index, index
+	if j.Step(slot).Gang {
+		first, last = 0, len(j.tasks[slot])-1
+	}
+	for k := first; k <= last; k++ {
+		c.markDone(j, slot, k)
+	}
 	if j.answered {
 		return
 	}
@@ -90,6 +98,23 @@
 	}
 }
 
+// markDone marks a task as done, whatever is known of its last run.
+func (c *Core) markDone(j *job, slot, index int) {
+	t := &j.tasks[slot][index]
+	switch t.state {
+	case done:
+		return
+	case pending:
+		j.pending--
+		c.queued--
+		if j.pending == 0 {
+			c.dequeue(j)
+		}
+	}
+	t.state = done
+	j.unfinished[slot]--
+}
+
 // finished reports whether all tasks are done.
 func (j *job) finished() bool {
 	for _, n := range j.unfinished {
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -97,9 +97,11 @@
 	j := newJob(now, w, runNumberBase)
 	j.cutoff = c.cutoff(j)
 	for slot, indices := range finished {
+		if len(indices) > 0 && j.Step(slot).Gang {
+			indices = allTasks(j.Step(slot))
+		}
 		for _, i := range indices {
-			j.tasks[slot][i].state = done
-			j.unfinished[slot]--
+			c.markDone(j, slot, i)
 		}
 	}
 	for t, n := range failures {
@@ -118,6 +120,15 @@
 	c.placeWaiting(now)
 }
 
+// allTasks returns the indices of all tasks of a step.
+func allTasks(s *work.Step) []int {
+	indices := make([]int, s.Count)
+	for i := range indices {
+		indices[i] = i
+	}
+	return indices
+}
+
 // Cancel ends a stored job whose cancellation is committed, and stops its runs.
 func (c *Core) Cancel(now time.Time, id string) {
 	j, ok := c.jobs[id]
