Count each failed run once, whichever home learns of it

Cause: the home commits a failure and is killed before it acknowledges the agent's event. The agent reports the event to the next home, which counted it on top of the failures that it had read. The ledger kept their number only.

The ledger keeps the run numbers of the failures that it counts, so a failure that is reported again, in any order, is acknowledged and counts once. Progress that an earlier build wrote has numbers of failures only and is read as before.

TestFailureThatTheLedgerHasCountsTwice fails without the check of the run number: "job j ended as \"failed\", want \"\"".

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -107,9 +107,10 @@
 type Job struct {
 	work.Job
 	Submitted       time.Time
-	Done            [][]int              // by slot: indices of the tasks that are done
-	Failures        map[work.TaskRef]int // number of failed runs of tasks that are not done
-	State           work.State           // empty while it is open
+	Done            [][]int                // by slot: indices of the tasks that are done
+	Failures        map[work.TaskRef]int   // number of failed runs of tasks that are not done
+	FailedRuns      map[work.TaskRef][]int // their run numbers, as far as they are known
+	State           work.State             // empty while it is open
 	Ended           time.Time
 	stored          bool // its item is in the store
 	maybeStored     bool // its item may be in the store
@@ -198,7 +199,7 @@
 
 // Accept adds a job. It is stored once the change Accepted is committed.
 func (l *Ledger) Accept(submitted time.Time, w *work.Job) {
-	j := &Job{Job: *w, Submitted: submitted, Done: make([][]int, w.Slots()), Failures: make(map[work.TaskRef]int)}
+	j := &Job{Job: *w, Submitted: submitted, Done: make([][]int, w.Slots()), Failures: make(map[work.TaskRef]int), FailedRuns: make(map[work.TaskRef][]int)}
 	l.jobs[w.ID] = j
 	l.addChange(w.ID, Change{Kind: Accepted, Job: w.ID})
 }
@@ -216,16 +217,20 @@
 	return ok && (j.stored || j.maybeStored)
 }
 
-// EndRun records that a run has ended as done or failed.
-func (l *Ledger) EndRun(t work.TaskRef, end work.End, m EventRef) {
+// EndRun records that a run has ended as done or failed. A failure that is reported again
+// counts once.
+func (l *Ledger) EndRun(r work.Run, end work.End, m EventRef) {
+	t := r.Task
 	j, ok := l.jobs[t.Job]
 	if ok && j.State == "" {
-		switch end {
-		case work.Done:
+		switch {
+		case end == work.Done:
 			j.Done[j.Slot(t)] = append(j.Done[j.Slot(t)], t.Index)
 			delete(j.Failures, t)
-		case work.Failed:
+			delete(j.FailedRuns, t)
+		case end == work.Failed && !slices.Contains(j.FailedRuns[t], r.Number):
 			j.Failures[t]++
+			j.FailedRuns[t] = append(j.FailedRuns[t], r.Number)
 		}
 	}
 	l.addChange(t.Job, Change{Kind: RunEnded, Job: t.Job, Event: m})
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -116,8 +116,8 @@
 	d.accept("b")
 	d.l.Enroll("a1")
 	d.commit()
-	d.l.EndRun(ref("a", 1), work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
-	d.l.EndRun(ref("a", 2), work.Failed, ledger.EventRef{Agent: "a1", Seq: 8})
+	d.l.EndRun(work.Run{Task: ref("a", 1), Number: 1}, work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
+	d.l.EndRun(work.Run{Task: ref("a", 2), Number: 1}, work.Failed, ledger.EventRef{Agent: "a1", Seq: 8})
 	d.l.EndJob(d.now, "b", work.Completed)
 	d.commit()
 
@@ -202,7 +202,7 @@
 func TestEndOfRunOfUnknownJobIsAcknowledged(t *testing.T) {
 	d := newDriver(t)
 	d.acquire()
-	d.l.EndRun(ref("forgotten", 0), work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
+	d.l.EndRun(work.Run{Task: ref("forgotten", 0), Number: 1}, work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
 	d.commit()
 	if len(d.changes) != 1 || d.changes[0].Event.Seq != 7 {
 		t.Errorf("changes %v", d.changes)
@@ -331,3 +331,26 @@
 		t.Errorf("enrolled %v", got)
 	}
 }
+
+// TestFailureIsCountedOnce guards against a job that fails early, since the event of a failed run
+// was processed again.
+func TestFailureIsCountedOnce(t *testing.T) {
+	d := newDriver(t)
+	d.acquire()
+	d.accept("a")
+	d.commit()
+	fail := func(number int) {
+		d.l.EndRun(work.Run{Task: ref("a", 2), Number: number}, work.Failed, ledger.EventRef{Agent: "a1", Seq: 7})
+	}
+	fail(1)
+	fail(1)
+	fail(3)
+	fail(2)
+	d.commit()
+	next := d.nextHome("e2")
+	next.acquire()
+	open := next.l.Open()[0]
+	if n, runs := open.Failures[ref("a", 2)], open.FailedRuns[ref("a", 2)]; n != 3 || fmt.Sprint(runs) != "[1 3 2]" {
+		t.Errorf("%d failures, of runs %v", n, runs)
+	}
+}
--- a/ledger/odd_test.go
+++ b/ledger/odd_test.go
@@ -41,7 +41,7 @@
 			d.acquire()
 			d.accept("a")
 			d.commit()
-			d.l.EndRun(ref("a", 1), work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
+			d.l.EndRun(work.Run{Task: ref("a", 1), Number: 1}, work.Done, ledger.EventRef{Agent: "a1", Seq: 7})
 			d.accept("b")
 			d.commit()
 			d.l.EndJob(d.now, "b", work.Completed)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -49,6 +49,8 @@
 type progressValue struct {
 	Done     [][]int        `json:"done"`
 	Failures map[string]int `json:"failures,omitempty"` // by task
+	// FailedRuns holds the numbers of the failed runs by task; earlier builds write none.
+	FailedRuns map[string][]int `json:"failedRuns,omitempty"`
 }
 
 func (j *Job) encode() ([]byte, error) {
@@ -68,6 +70,12 @@
 		}
 		v.Failures[t.String()] = n
 	}
+	for t, runs := range j.FailedRuns {
+		if v.FailedRuns == nil {
+			v.FailedRuns = make(map[string][]int)
+		}
+		v.FailedRuns[t.String()] = runs
+	}
 	return json.Marshal(v)
 }
 
@@ -157,7 +165,7 @@
 	}
 	j = &Job{Job: *v.Job, stored: true, maybeStored: true, Submitted: time.UnixMilli(v.Submitted)}
 	j.Stored, j.Left, j.Age, j.Trace = true, 0, 0, ""
-	j.Done, j.Failures = make([][]int, j.Slots()), make(map[work.TaskRef]int)
+	j.Done, j.Failures, j.FailedRuns = make([][]int, j.Slots()), make(map[work.TaskRef]int), make(map[work.TaskRef][]int)
 	return j, nil
 }
 
@@ -178,21 +186,36 @@
 		}
 		v.Done[slot] = indices
 	}
-	failures := make(map[work.TaskRef]int, len(v.Failures))
+	failures, failedRuns := make(map[work.TaskRef]int, len(v.Failures)), make(map[work.TaskRef][]int, len(v.FailedRuns))
 	for name, n := range v.Failures {
-		t, err := work.ParseTaskRef(name)
+		t, err := j.parseTask(name)
 		if err != nil {
 			return err
 		}
-		if t.Job != j.ID || !j.HasTask(t) || n < 0 {
+		if n < 0 {
 			return errors.NotValidf("%d failures of %q", n, name)
 		}
 		failures[t] = n
 	}
-	j.Done, j.Failures = v.Done, failures
+	for name, runs := range v.FailedRuns {
+		t, err := j.parseTask(name)
+		if err != nil {
+			return err
+		}
+		failedRuns[t] = runs
+	}
+	j.Done, j.Failures, j.FailedRuns = v.Done, failures, failedRuns
 	return nil
 }
 
+// parseTask parses the name of a task of the job.
+func (j *Job) parseTask(name string) (t work.TaskRef, err error) {
+	if t, err = work.ParseTaskRef(name); err == nil && (t.Job != j.ID || !j.HasTask(t)) {
+		err = errors.NotValidf("task %q of job %s", name, j.ID)
+	}
+	return t, err
+}
+
 // decodeEnded decodes the item of an ended job.
 func decodeEnded(id string, raw []byte) (j *Job, err error) {
 	var v jobValue
--- a/schedule/gang_test.go
+++ b/schedule/gang_test.go
@@ -48,7 +48,7 @@
 // since the ledger has the ends of some of its tasks.
 func TestRestoredGangIsDoneOnceOneOfItsTasksIs(t *testing.T) {
 	h := newTenureHarness(t, 3, "a")
-	h.c.Restore(h.now, gangJob("j", 3), 1000, [][]int{{1, 1}}, nil)
+	h.c.Restore(h.now, gangJob("j", 3), 1000, [][]int{{1, 1}}, schedule.Failures{})
 	h.collect()
 	h.wantOutcome("j", work.Completed)
 	h.wantStarts("a", 0)
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -88,9 +88,15 @@
 	return reason, retry
 }
 
+// Failures are the failed runs of a stored job by task.
+type Failures struct {
+	Count map[work.TaskRef]int
+	Runs  map[work.TaskRef][]int // run numbers, as far as they are known
+}
+
 // Restore adds a stored job from the ledger, with its finished tasks by slot and its
-// failed runs by task. New runs of each task are numbered from runNumberBase+1.
-func (c *Core) Restore(now time.Time, w work.Job, runNumberBase int, finished [][]int, failures map[work.TaskRef]int) {
+// failed runs. New runs of each task are numbered from runNumberBase+1.
+func (c *Core) Restore(now time.Time, w work.Job, runNumberBase int, finished [][]int, failures Failures) {
 	if _, ok := c.jobs[w.ID]; ok {
 		return
 	}
@@ -104,9 +110,12 @@
 			c.markDone(j, slot, i)
 		}
 	}
-	for t, n := range failures {
+	for t, n := range failures.Count {
 		j.tasks[j.Slot(t)][t.Index].failures = n
 	}
+	for t, runs := range failures.Runs {
+		j.tasks[j.Slot(t)][t.Index].failedRuns = runs
+	}
 	c.jobs[w.ID] = j
 	if w.Times > 0 {
 		c.timed = append(c.timed, j)
@@ -193,12 +202,16 @@
 }
 
 // adoptEnded adopts a run that ended before its agent reported it as inherited, and
-// reports whether it did.
+// reports whether it did. A failure that the ledger has is reported again if the home was
+// lost before it acknowledged the event.
 func (c *Core) adoptEnded(now time.Time, t *target, e *Event) bool {
 	j, ok := c.jobs[e.Run.Task.Job]
 	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || !c.awaitsPlacement(j, e.Run.Task) {
 		return false
 	}
+	if e.End == work.Failed && slices.Contains(j.tasks[j.Slot(e.Run.Task)][e.Run.Task.Index].failedRuns, e.Run.Number) {
+		return false
+	}
 	c.placeRun(now.Add(-e.Took), t, j, e.Run)
 	return true
 }
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -35,7 +35,7 @@
 func (h *harness) restore(id string, tasks int, done ...int) {
 	j := job(id, 0, tasks, 100*time.Millisecond)
 	j.Stored = true
-	h.c.Restore(h.now, j, 1000, [][]int{done}, nil)
+	h.c.Restore(h.now, j, 1000, [][]int{done}, schedule.Failures{})
 	h.collect()
 }
 
@@ -222,3 +222,20 @@
 	h.collect()
 	h.wantStarts("a", 1)
 }
+
+// TestFailureThatTheLedgerHasCountsTwice guards against a job that fails after one of two attempts,
+// since its home was lost between the commit of the failure and its acknowledgement.
+func TestFailureThatTheLedgerHasCountsTwice(t *testing.T) {
+	for number, want := range map[int]work.State{5: "", 6: work.JobFailed} {
+		h := newInheritingHarness(t, "a")
+		j := job("j", 0, 1, 100*time.Millisecond) // of a queue with two attempts
+		j.Stored = true
+		task := run("j", 0, 5).Task
+		h.c.Restore(h.now, j, 1000, nil, schedule.Failures{Count: map[work.TaskRef]int{task: 1}, Runs: map[work.TaskRef][]int{task: {5}}})
+		h.confirm("a", 2, nil, schedule.Event{Run: run("j", 0, number), End: work.Failed})
+		h.wantOutcome("j", want)
+		if want == "" && h.c.Acked("a") != 1 {
+			t.Error("the event that the ledger has is not acknowledged")
+		}
+	}
+}
--- a/schedule/timed_test.go
+++ b/schedule/timed_test.go
@@ -22,7 +22,7 @@
 
 func (h *harness) restoreStored(j work.Job) {
 	j.Stored = true
-	h.c.Restore(h.now, j, 0, nil, nil)
+	h.c.Restore(h.now, j, 0, nil, schedule.Failures{})
 	h.collect()
 }
 
@@ -108,7 +108,7 @@
 	j := job("j", 0, 1, 10*time.Millisecond)
 	j.Times, j.First, j.Every, j.Stored = 2, h.now.Add(-time.Second), time.Second, true
 	second := work.TaskRef{Job: "j", Occurrence: 1}
-	h.c.Restore(h.now, j, 0, [][]int{{0}, nil}, map[work.TaskRef]int{second: j.Queue.MaxAttempts - 1})
+	h.c.Restore(h.now, j, 0, [][]int{{0}, nil}, schedule.Failures{Count: map[work.TaskRef]int{second: j.Queue.MaxAttempts - 1}})
 	h.collect()
 	h.wantStarts("a", 1)
 	h.confirm("a", 1, nil, schedule.Event{Run: h.starts["a"][0], End: work.Failed})
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -183,7 +183,7 @@
 	if w.Times > 0 {
 		w.First = now.Add(w.First.Sub(wall)) // converts to the clock that the core uses
 	}
-	h.core.Restore(now, w, int(h.ledger.Epoch())*runNumberStride, j.Done, j.Failures)
+	h.core.Restore(now, w, int(h.ledger.Epoch())*runNumberStride, j.Done, schedule.Failures{Count: j.Failures, Runs: j.FailedRuns})
 }
 
 // updateTenure passes the current tenure to the core: the ledger holder's term, a
@@ -284,7 +284,7 @@
 // caller holds mu.
 func (h *home) recordDecisions(d *schedule.Decisions) {
 	for _, runEnd := range d.RunEnds {
-		h.ledger.EndRun(runEnd.Run.Task, runEnd.End, ledger.EventRef{Agent: runEnd.Agent, Life: runEnd.Life, Seq: runEnd.Seq})
+		h.ledger.EndRun(runEnd.Run, runEnd.End, ledger.EventRef{Agent: runEnd.Agent, Life: runEnd.Life, Seq: runEnd.Seq})
 	}
 	for _, answer := range d.Outcomes {
 		h.ledger.EndJob(h.e.wall(), answer.Job, answer.Outcome.State)
