--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -81,14 +81,21 @@
 	h := newHarness(t)
 	h.addAgent("a", 4)
 	h.setTenure(2, "a", "gone")
+	h.wantStartOnceLeasesEnded("a")
+}
+
+// wantStartOnceLeasesEnded checks that an agent gets no task before the leases of the previous
+// home have expired.
+func (h *harness) wantStartOnceLeasesEnded(agent string) {
+	h.t.Helper()
 	h.restore("j", 1)
-	h.confirm("a", 2, nil)
-	h.wantStarts("a", 0)
+	h.confirm(agent, 2, nil)
+	h.wantStarts(agent, 0)
 	h.now = h.now.Add(6*time.Second + time.Millisecond)
-	h.confirm("a", 2, nil)
+	h.confirm(agent, 2, nil)
 	h.c.Tick(h.now)
 	h.collect()
-	h.wantStarts("a", 1)
+	h.wantStarts(agent, 1)
 }
 
 func TestRunsOfThePreviousHomeAreAdopted(t *testing.T) {
@@ -213,14 +220,7 @@
 	h := newHarness(t)
 	h.addAgent("a", 4)
 	h.c.SetTenure(h.now, schedule.Tenure{Epoch: 2, Until: h.now.Add(time.Hour), Agents: map[string]bool{"a": true}, PreviousUnknown: true, LeasesEndAt: h.now.Add(6 * time.Second)})
-	h.restore("j", 1)
-	h.confirm("a", 2, nil)
-	h.wantStarts("a", 0)
-	h.now = h.now.Add(6*time.Second + time.Millisecond)
-	h.confirm("a", 2, nil)
-	h.c.Tick(h.now)
-	h.collect()
-	h.wantStarts("a", 1)
+	h.wantStartOnceLeasesEnded("a")
 }
 
 // TestFailureThatTheLedgerHasCountsTwice guards against a job that fails after one of two attempts,
