Ignore odd items of the table and of the registry

An odd row could not be replaced by any edit, and an odd registry by no change; one with the highest revision would shut out all later ones.

Items that are no rows, or have values that no edit may write, are ignored and logged. An edit based on the revision of such an item replaces it. A registry that can't be read is not taken for a confirmation of the known one, and the next change replaces it by that.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -96,12 +96,17 @@
 // that is stored by then; if the write took effect, they change nothing.
 func (e *Entry) writeRegistry(ctx context.Context, changes []member.Change) (reg member.Registry, err error) {
 	defer func() { err = errors.Annotate(err, "writing the registry") }()
+	stored := member.Registry{}
 	item, err := e.store.Get(ctx, member.RegistryKey)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return reg, err
-	}
-	stored, err := member.Decode(item.Value)
-	if err != nil {
+	switch {
+	case err == nil:
+		if stored, err = member.Decode(item.Value); err != nil {
+			e.log.Error().Err(err).Msg("registry cannot be read; replaced by the newest known one")
+			if stored = *e.registry.Load(); stored.Revision == 0 {
+				return reg, err
+			}
+		}
+	case !errors.Is(err, store.ErrNotFound):
 		return reg, err
 	}
 	next, changed := stored.With(changes)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -77,14 +77,15 @@
 	if err != nil {
 		return 0, err
 	}
-	reg, rows, err := decodeState(items)
-	if err != nil {
-		e.log.Error().Err(err).Msg("decoding the registry or the table failed")
-		return 0, err
+	st := decodeState(items)
+	for _, err := range st.ignored {
+		e.log.Error().Err(err).Msg("item of the registry or the table ignored")
 	}
 	e.post(func(now time.Time) {
-		e.mergeState(now, reg, rows, latestRevision(rows))
-		e.core.members.ConfirmNewest(requestedAt)
+		e.mergeState(now, st.registry, st.rows, latestRevision(st.rows))
+		if !st.registryUnreadable {
+			e.core.members.ConfirmNewest(requestedAt)
+		}
 	})
 	return rev, nil
 }
@@ -97,21 +98,28 @@
 
 const watchesPerRetention = 8
 
-func decodeState(items []store.Item) (reg *member.Registry, rows []table.Row, err error) {
-	var tableItems []store.Item
+// storedState is what the key-value service holds for the entries.
+type storedState struct {
+	registry           *member.Registry // nil if there is none that can be read
+	registryUnreadable bool
+	rows               []table.Row
+	ignored            []error // why items were ignored
+}
+
+func decodeState(items []store.Item) (s storedState) {
+	s.rows, s.ignored = table.Decode(items)
 	for _, it := range items {
 		if it.Key != member.RegistryKey {
-			tableItems = append(tableItems, it)
 			continue
 		}
 		r, err := member.Decode(it.Value)
 		if err != nil {
-			return nil, nil, err
+			s.registryUnreadable, s.ignored = true, append(s.ignored, err)
+			continue
 		}
-		reg = &r
+		s.registry = &r
 	}
-	rows, err = table.Decode(tableItems)
-	return reg, rows, err
+	return s
 }
 
 func latestRevision(rows []table.Row) (rev uint64) {
--- a/member/registry.go
+++ b/member/registry.go
@@ -78,16 +78,21 @@
 	Successors []Successor `json:"successors"`
 }
 
-// Decode parses the registry's document. An empty document gives an empty
-// registry.
+// Decode parses the registry's document.
 func Decode(value []byte) (r Registry, err error) {
-	if len(value) == 0 {
-		return Registry{}, nil
+	defer func() { err = errors.Annotate(err, "reading the registry") }()
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Registry{}, err
 	}
-	err = errors.Annotate(json.Unmarshal(value, &r), "reading the registry")
-	return r, err
+	if r.Revision == 0 || r.Revision > maxRevision {
+		return Registry{}, errors.NotValidf("revision %d", r.Revision)
+	}
+	return r, nil
 }
 
+// maxRevision is above the revision of any registry, so that later ones do not overflow.
+const maxRevision = 1 << 48
+
 // Encode returns the registry's document.
 func (r *Registry) Encode() ([]byte, error) {
 	return json.Marshal(r)
--- a/member/view.go
+++ b/member/view.go
@@ -52,7 +52,7 @@
 
 // Update replaces the registry by r if r is newer, and reports whether it was.
 func (v *View) Update(now time.Time, r Registry) bool {
-	if r.Revision <= v.current.Revision {
+	if r.Revision <= v.current.Revision || r.Revision > maxRevision {
 		return false
 	}
 	if !sameEntries(v.current.Entries, r.Entries) {
--- a/table/store.go
+++ b/table/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,30 +41,41 @@
 	if err != nil {
 		return nil, err
 	}
-	all, err := Decode(items)
+	all, _ := Decode(items) // the entries log what is ignored
 	for _, r := range all {
 		if !r.Removed {
 			rows = append(rows, r)
 		}
 	}
-	return rows, err
+	return rows, nil
 }
 
-// Decode parses items of the key-value service as rows.
-func Decode(items []store.Item) (rows []Row, err error) {
+// Decode parses the items of the key-value service that are rows. Items under Prefix that are
+// not rows are ignored, since another writer may have left them; ignored says why.
+func Decode(items []store.Item) (rows []Row, ignored []error) {
 	for _, it := range items {
+		if !strings.HasPrefix(it.Key, Prefix) {
+			continue
+		}
 		r, err := decodeRow(it)
 		if err != nil {
-			return nil, errors.Annotatef(err, "reading %s", it.Key)
+			ignored = append(ignored, errors.Annotatef(err, "reading %s", it.Key))
+			continue
 		}
 		rows = append(rows, r)
 	}
-	return rows, nil
+	return rows, ignored
 }
 
 func decodeRow(it store.Item) (r Row, err error) {
 	if err := json.Unmarshal(it.Value, &r); err != nil {
-		return Row{}, err
+		return Row{}, errors.NewNotValid(err, "")
+	}
+	if err := r.Check(); err != nil {
+		return Row{}, errors.NewNotValid(err, "")
+	}
+	if it.Key != Prefix+r.ID() {
+		return Row{}, errors.NotValidf("row %s", r.ID())
 	}
 	r.Revision = it.Revision
 	return r, nil
@@ -114,13 +126,23 @@
 	return r, err
 }
 
-// current returns a row, or one with revision 0 if the row never existed.
+// current returns a row, or one with revision 0 if the row never existed. Of an item that is
+// not a row, it returns the revision, so that an edit can replace it.
 func (e *Editor) current(ctx context.Context, kind Kind, name string) (Row, error) {
-	cur, err := e.Get(ctx, kind, name)
+	r := Row{Kind: kind, Name: name}
+	it, err := e.Store.Get(ctx, Prefix+r.ID())
 	if errors.Is(err, store.ErrNotFound) {
-		return cur, nil
+		return r, nil
+	}
+	if err != nil {
+		return r, err
+	}
+	cur, err := decodeRow(it)
+	if err != nil {
+		r.Revision = it.Revision
+		return r, nil
 	}
-	return cur, err
+	return cur, nil
 }
 
 // maxWriteAttempts bounds the attempts of a write whose answers are lost.
