--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -8,9 +8,9 @@
 	"masticbay/table"
 )
 
-// TestOddRegistryHidesTheTable guards against an entry that stops following the registry and the
-// table after another writer has left one item under their prefix.
-func TestOddRegistryHidesTheTable(t *testing.T) {
+// TestMalformedRegistryHidesTheTable guards against an entry that stops following the registry and the
+// table after a foreign program has written one item under their prefix.
+func TestMalformedRegistryHidesTheTable(t *testing.T) {
 	row := store.Item{Key: table.Prefix + "team/laval", Value: []byte(`{"kind":"team","name":"laval","weight":1}`), Revision: 7}
 	for value, valid := range map[string]bool{
 		`{"revision":3}`: true, ``: false, `x`: false, `null`: false, `{"revision":18446744073709551615}`: false, `{"revision":-1}`: false, `{"entries":[7]}`: false,
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -20,7 +20,7 @@
 }
 
 // observeHolder takes the tenure's key when this entry does not hold the tenure. After an
-// error the holder is unknown, as another writer has overwritten the key. A key that was
+// error the holder is unknown, as a foreign program has overwritten the key. A key that was
 // deleted does not show that nothing is stored.
 func (l *Ledger) observeHolder(it store.Item) (err error) {
 	l.setRevision(it.Revision)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -23,7 +23,8 @@
 	l       *ledger.Ledger
 	now     time.Time
 	changes []ledger.Change
-	odd     bool // items may be ignored
+	// toleratesMalformed is set if items may be ignored.
+	toleratesMalformed bool
 }
 
 func newDriver(t *testing.T) *driver {
@@ -42,15 +43,15 @@
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		d.t.Fatal(err)
 	}
-	if err := d.l.SetHolder(it); err != nil && !d.odd {
+	if err := d.l.SetHolder(it); err != nil && !d.toleratesMalformed {
 		d.t.Fatal(err)
 	}
 	d.l.Acquire()
 	d.commit()
-	if ignored := d.l.Load(d.list(ledger.OpenPrefix)); ignored != nil && !d.odd || !d.l.Held() || d.l.EndedLoaded() {
+	if ignored := d.l.Load(d.list(ledger.OpenPrefix)); ignored != nil && !d.toleratesMalformed || !d.l.Held() || d.l.EndedLoaded() {
 		d.t.Fatalf("held %t, ended jobs loaded %t: %v", d.l.Held(), d.l.EndedLoaded(), ignored)
 	}
-	if ignored := d.l.LoadEnded(d.now, d.list(ledger.EndedPrefix)); ignored != nil && !d.odd || !d.l.EndedLoaded() {
+	if ignored := d.l.LoadEnded(d.now, d.list(ledger.EndedPrefix)); ignored != nil && !d.toleratesMalformed || !d.l.EndedLoaded() {
 		d.t.Fatalf("ended jobs loaded %t: %v", d.l.EndedLoaded(), ignored)
 	}
 }
--- a/ledger/odd_test.go
+++ b/ledger/malformed_test.go
@@ -11,17 +11,17 @@
 	"masticbay/work"
 )
 
-// put writes an item as another writer.
+// put writes an item as a foreign program would.
 func (d *driver) put(key, value string) {
 	d.t.Helper()
-	d.odd = true
+	d.toleratesMalformed = true
 	if _, err := d.st.Commit(&store.Commit{Writes: []store.Item{{Key: key, Value: []byte(value)}}}); err != nil {
 		d.t.Fatal(err)
 	}
 }
 
-// oddValues are values of another writer: not decodable, or with numbers out of range.
-func oddValues() []string {
+// malformedValues are values of a foreign program: not decodable, or with numbers out of range.
+func malformedValues() []string {
 	nested := strings.Repeat("[", 20_000)
 	return []string{
 		"", "x", "null", "7", `"x"`, `{}`, `[]`, nested, `{"job":` + nested, `{"ended":1e300}`, `{"state":"odd","ended":9223372036854775807}`,
@@ -32,10 +32,10 @@
 	}
 }
 
-// TestOddItemShutsTheNextHolderOut guards against a ledger that can't be read any more, so that
-// no stored job goes on, after another writer has left one item under its prefixes.
-func TestOddItemShutsTheNextHolderOut(t *testing.T) {
-	for _, value := range oddValues() {
+// TestMalformedItemShutsOutTheNextHolder guards against a ledger that can't be read any more, so that
+// no stored job goes on, after a foreign program has written one item under its prefixes.
+func TestMalformedItemShutsOutTheNextHolder(t *testing.T) {
+	for _, value := range malformedValues() {
 		for _, key := range []string{ledger.OpenPrefix + "job/odd", ledger.OpenPrefix + "progress/odd", ledger.OpenPrefix + "progress/none", ledger.OpenPrefix + "x", ledger.EndedPrefix + "odd", ledger.EndedPrefix, ledger.OpenPrefix + "job/"} {
 			d := newDriver(t)
 			d.acquire()
@@ -49,7 +49,7 @@
 			d.put(key, value)
 
 			next := d.nextHome("e2")
-			next.odd = true
+			next.toleratesMalformed = true
 			next.acquire()
 			found := false
 			for _, j := range next.l.Open() {
@@ -67,9 +67,9 @@
 	}
 }
 
-// TestOddProgressRepeatsTasks guards against tasks that run again, or a job that counts as
+// TestMalformedProgressRepeatsTasks guards against tasks that run again, or a job that counts as
 // completed, since the item with the job's progress was overwritten or lists a task twice.
-func TestOddProgressRepeatsTasks(t *testing.T) {
+func TestMalformedProgressRepeatsTasks(t *testing.T) {
 	for value, wantOpen := range map[string]bool{
 		`x`: false, `{"done":[[1,7]]}`: false, `{"done":[[-1]]}`: false, `{"done":[[0],[0]]}`: false, `{"done":null}`: false,
 		`{"done":[[1]],"failures":{"a.0.0.9":1}}`: false, `{"done":[[1]],"failures":{"a.0.0.0":-1}}`: false, `{"done":[[1]],"failures":{"x":1}}`: false,
@@ -81,7 +81,7 @@
 		d.commit()
 		d.put(ledger.OpenPrefix+"progress/a", value)
 		next := d.nextHome("e2")
-		next.odd = true
+		next.toleratesMalformed = true
 		next.acquire()
 		open := next.l.Open()
 		if (len(open) == 1) != wantOpen || wantOpen && fmt.Sprint(open[0].Done) != "[[1]]" {
@@ -93,10 +93,10 @@
 	}
 }
 
-// TestOddTenureShutsTheHolderOut guards against a ledger that nobody can hold or use any more
-// after another writer has overwritten or deleted the item that names the holder.
-func TestOddTenureShutsTheHolderOut(t *testing.T) {
-	for _, value := range oddValues() {
+// TestMalformedTenureShutsOutTheHolder guards against a ledger that nobody can hold or use any more
+// after a foreign program has overwritten or deleted the item that names the holder.
+func TestMalformedTenureShutsOutTheHolder(t *testing.T) {
+	for _, value := range malformedValues() {
 		d := newDriver(t)
 		d.acquire()
 		d.accept("a")
@@ -130,7 +130,7 @@
 	}
 }
 
-// commitDeposed is commit for a commit whose conflict shows an odd item.
+// commitDeposed is commit for a commit whose conflict shows a malformed item.
 func (d *driver) commitDeposed() (deposed bool) {
 	p := d.nextCommit()
 	it := d.list(ledger.TenureKey)[0]
@@ -158,9 +158,9 @@
 	}
 }
 
-// TestOddListOfAgentsCountsAsEmpty guards against a double run: the next holder does not know
+// TestMalformedAgentListCountsAsEmpty guards against a double run: the next holder does not know
 // which agents may run tasks of the previous one.
-func TestOddListOfAgentsCountsAsEmpty(t *testing.T) {
+func TestMalformedAgentListCountsAsEmpty(t *testing.T) {
 	for value, want := range map[string]bool{`["a1"]`: true, `x`: false, `{}`: false, `null`: false, `[7]`: false} {
 		d := newDriver(t)
 		d.acquire()
@@ -168,7 +168,7 @@
 		d.commit()
 		d.put(ledger.OpenPrefix+"agents", value)
 		next := d.nextHome("e2")
-		next.odd = true
+		next.toleratesMalformed = true
 		next.acquire()
 		if got := next.l.EnrollmentKnown(); got != want {
 			t.Errorf("%s: enrollment known %t", value, got)
@@ -183,7 +183,7 @@
 	d.acquire()
 	d.put(ledger.EndedPrefix+"odd", fmt.Sprintf(`{"state":"completed","ended":%d}`, d.now.Add(1e4*time.Hour).UnixMilli()))
 	next := d.nextHome("e2")
-	next.odd = true
+	next.toleratesMalformed = true
 	next.acquire()
 	next.accept("a")
 	next.commit()
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -95,7 +95,7 @@
 }
 
 // decode adds the jobs, their progress and the agents from the items under OpenPrefix. Items
-// that can't be read are ignored, since another writer may have left them; ignored says why.
+// that can't be read are ignored, as a foreign program may have written them; ignored says why.
 // A job whose progress can't be read is known, but must not run: tasks of it may be done.
 func (l *Ledger) decode(items []store.Item) (ignored []error) {
 	progress := make(map[string][]byte)
@@ -115,7 +115,7 @@
 	for id, raw := range progress {
 		j, ok := l.jobs[id]
 		if !ok {
-			continue // of another writer; a job and its progress are deleted together
+			continue // foreign; a job and its progress are deleted together
 		}
 		j.hasProgressItem = true
 		if err := j.decodeProgress(raw); err != nil {
--- a/site/entry_config.go
+++ b/site/entry_config.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		if before != nil && asOf > 0 && asOf < before.revision {
-			// The message that brought it was odd: the store had no such revision.
+			// The message that brought it was malformed: the store had no such revision.
 			e.log.Error().Uint64("version", before.Version()).Uint64("revision", before.revision).Uint64("store", asOf).Msg("configuration of an unknown revision replaced")
 			e.replaceConfig(it.Value, it.Revision, "store, read", before)
 			continue
--- a/site/home.go
+++ b/site/home.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// maxSession bounds the numbers of sessions, so that an odd one does not shut out those after it.
+// maxSession bounds the numbers of sessions, so that a malformed one does not shut out those after it.
 // An entry starts one for each home that it loses.
 const maxSession = 1 << 24
 
--- a/site/odd_test.go
+++ b/site/malformed_test.go
@@ -11,9 +11,9 @@
 	"masticbay/work"
 )
 
-// TestOddReplyShutsTheAgentOut guards against a home that ignores all later reports of an agent,
+// TestReplyOutOfRangeShutsOutTheAgent guards against a home that ignores all later reports of an agent,
 // or forgets its orders, after one reply with a number out of range.
-func TestOddReplyShutsTheAgentOut(t *testing.T) {
+func TestReplyOutOfRangeShutsOutTheAgent(t *testing.T) {
 	h := newHome(testEntry())
 	defer h.close()
 	h.mu.Lock()
@@ -37,9 +37,9 @@
 	}
 }
 
-// TestOddGreetingShutsTheEntryOut guards against an entry that is not heard any more after one
+// TestGreetingOutOfRangeShutsOutTheEntry guards against an entry that is not heard any more after one
 // greeting with a stamp or a session out of range.
-func TestOddGreetingShutsTheEntryOut(t *testing.T) {
+func TestGreetingOutOfRangeShutsOutTheEntry(t *testing.T) {
 	e := testEntry()
 	e.homeReports, e.stamps = make(map[string]homeReport), make(map[string]peerStamp)
 	e.home = newHome(e)
@@ -61,9 +61,9 @@
 	}
 }
 
-// TestEchoOfATimeToComeIsNoContact guards against a job that runs twice: its entry, which is out
+// TestFutureEchoIsNoContact guards against a job that runs twice: its entry, which is out
 // of contact, has sent an echo that this home never issued as a stamp.
-func TestEchoOfATimeToComeIsNoContact(t *testing.T) {
+func TestFutureEchoIsNoContact(t *testing.T) {
 	h := newHome(testEntry())
 	defer h.close()
 	h.mu.Lock()
@@ -76,9 +76,9 @@
 	}
 }
 
-// TestOddConfigurationOutlastsItsMessage guards against an entry that ignores all later
+// TestMalformedConfigurationOutlastsItsMessage guards against an entry that ignores all later
 // configurations after one with a version or a revision out of range.
-func TestOddConfigurationOutlastsItsMessage(t *testing.T) {
+func TestMalformedConfigurationOutlastsItsMessage(t *testing.T) {
 	config := func(version uint64) []byte { return fmt.Appendf(nil, `{"version":%d,"routes":[]}`, version) }
 	e := testEntry()
 	e.applyConfig(config(7), 100, "store")
@@ -88,11 +88,11 @@
 		t.Errorf("in force %+v, want version 8", c)
 	}
 	e.applyConfig(config(7), 100, "a late reply")
-	e.applyConfig([]byte(`{"version":9}`), 103, "another writer")
+	e.applyConfig([]byte(`{"version":9}`), 103, "foreign program")
 	if c := e.config.Load(); c.Version() != 8 {
 		t.Errorf("in force %+v, want version 8", c)
 	}
-	e.applyConfig(config(9), math.MaxUint64, "an odd reply")
+	e.applyConfig(config(9), math.MaxUint64, "malformed reply")
 	e.replaceConfig(config(8), 102, "store, read", e.config.Load())
 	if c := e.config.Load(); c.Version() != 8 || c.revision != 102 {
 		t.Errorf("in force %+v, want version 8 at revision 102", c)
--- a/table/odd_test.go
+++ b/table/malformed_test.go
@@ -10,9 +10,9 @@
 	"masticbay/table"
 )
 
-// TestOddRowHidesTheOthers guards against processes that stop following the table after another
+// TestMalformedRowHidesTheOthers guards against processes that stop following the table after another
 // writer has left one item among its rows, and against a row that no edit can replace.
-func TestOddRowHidesTheOthers(t *testing.T) {
+func TestMalformedRowHidesTheOthers(t *testing.T) {
 	for _, value := range []string{
 		"", "x", "null", `{}`, strings.Repeat("[", 20_000), `{"kind":"team","name":"other","weight":1}`, `{"kind":"team","name":"odd","weight":1e300}`,
 		`{"kind":"team","name":"odd","weight":-1}`, `{"kind":"team","name":"odd","weight":1,"limit":99999999999999999999}`, `{"kind":"team","name":"odd","weight":1,"limit":-7}`,
--- a/table/store.go
+++ b/table/store.go
@@ -51,7 +51,7 @@
 }
 
 // Decode parses the items of the key-value service that are rows. Items under Prefix that are
-// not rows are ignored, since another writer may have left them; ignored says why.
+// not rows are ignored, as a foreign program may have written them; ignored says why.
 func Decode(items []store.Item) (rows []Row, ignored []error) {
 	for _, it := range items {
 		if !strings.HasPrefix(it.Key, Prefix) {
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -27,7 +27,7 @@
 }
 
 // RecordContact records contact with an entry: the entry has echoed a time of the agent's clock.
-// A time that is yet to come is no echo.
+// A time in the future is no echo.
 func (g *Guard) RecordContact(now time.Time, entry string, echo time.Time) {
 	s := g.homeState(entry)
 	if echo.After(s.lastContact) && !echo.After(now) {
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -6,7 +6,7 @@
 	"masticbay/work"
 )
 
-// A heartbeat may come from another writer, so only the worker's replies decide which
+// A heartbeat may come from a foreign program, so only the worker's replies decide which
 // incarnation runs and what its clock shows. A heartbeat describes the worker. Until the
 // first reply, it stands in for one.
 
--- a/worker/heartbeat_test.go
+++ b/worker/heartbeat_test.go
@@ -9,15 +9,15 @@
 	"masticbay/worker"
 )
 
-// sendOddHeartbeat sends a heartbeat of another writer.
-func (d *driver) sendOddHeartbeat(id string, born int64, clock time.Duration) {
+// sendForeignHeartbeat sends a heartbeat of a foreign program.
+func (d *driver) sendForeignHeartbeat(id string, born int64, clock time.Duration) {
 	d.g.TakeHeartbeat(d.now, work.Target{ID: id, Born: born, Service: "s", Capacity: work.Room{CPU: 5}, Draining: true}, clock)
 }
 
-// TestOddHeartbeatShutsTheWorkerOut guards against an agent that ignores its worker from
-// then on, because a heartbeat of another writer had a later start time or clock.
-func TestOddHeartbeatShutsTheWorkerOut(t *testing.T) {
-	for name, odd := range map[string]struct {
+// TestMalformedHeartbeatShutsOutTheWorker guards against an agent that ignores its worker from
+// then on, because a heartbeat of a foreign program had a later start time or clock.
+func TestMalformedHeartbeatShutsOutTheWorker(t *testing.T) {
+	for name, foreign := range map[string]struct {
 		id    string
 		born  int64
 		clock time.Duration
@@ -31,12 +31,12 @@
 		for _, first := range []bool{false, true} {
 			d := &driver{t: t, g: worker.NewGuard(cfg), now: time.Unix(1000, 0), clock: 5 * time.Second, born: 7}
 			if first {
-				d.sendOddHeartbeat(odd.id, odd.born, odd.clock)
+				d.sendForeignHeartbeat(foreign.id, foreign.born, foreign.clock)
 			}
 			d.sendHeartbeat(false)
 			d.answerPoll(0)
 			if !first {
-				d.sendOddHeartbeat(odd.id, odd.born, odd.clock)
+				d.sendForeignHeartbeat(foreign.id, foreign.born, foreign.clock)
 			}
 			d.answerPoll(0)
 			d.sendHeartbeat(false)
@@ -70,7 +70,7 @@
 // another worker for good, since that one's heartbeat was the first.
 func TestForeignDescriptionIsReplaced(t *testing.T) {
 	d := newRestartedDriver(t)
-	d.sendOddHeartbeat("x", 7, time.Second)
+	d.sendForeignHeartbeat("x", 7, time.Second)
 	d.answerPoll(0)
 	d.sendHeartbeat(false)
 	d.advance(6 * time.Second)
--- a/worker/order_test.go
+++ b/worker/order_test.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// TestEchoOfATimeToComeKeepsRunsAlive guards against runs that outlast the contact with their
+// TestFutureEchoKeepsRunsAlive guards against runs that outlast the contact with their
 // home, since one of its messages had an echo that this agent never issued as a stamp.
-func TestEchoOfATimeToComeKeepsRunsAlive(t *testing.T) {
+func TestFutureEchoKeepsRunsAlive(t *testing.T) {
 	d := newDriver(t)
 	d.g.Order(d.now, "e1", d.now.Add(time.Hour), []work.Start{start(0, 1, 10)}, nil)
 	d.lastEvent(work.Refused)
@@ -38,9 +38,9 @@
 	}
 }
 
-// TestTenureOfATimeToComeNeverEnds guards against runs of stored jobs that go on without a holder
+// TestFutureTenureNeverEnds guards against runs of stored jobs that go on without a holder
 // of the ledger, since its tenure was said to be renewed later than now.
-func TestTenureOfATimeToComeNeverEnds(t *testing.T) {
+func TestFutureTenureNeverEnds(t *testing.T) {
 	d := newDriverWithTenure(t)
 	d.g.ApplyTenure(d.now, "e1", worker.Tenure{Epoch: 1, RenewedAt: d.now.Add(time.Hour)})
 	d.advance(cfg.TenureMaxAge + time.Millisecond)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -281,7 +281,7 @@
 	d := newDriver(t)
 	d.born = 8
 	d.sendHeartbeat(false)
-	d.answerPoll(0) // a heartbeat alone may be of another writer
+	d.answerPoll(0) // a heartbeat alone may be of a foreign program
 	d.born = 7
 	d.sendHeartbeat(true)
 	if target, ok := d.g.Target(); !ok || target.Draining || target.Born != 8 {
