Replace a stamp only by that of an exchange that began later

A home that is short of processor time may process replies in another order and by seconds late, and then went back to an old echo. A reply to an exchange that began after the last stamp was received has a later stamp by necessity, unless that one was out of range; only such a reply replaces it now, whatever the times are. The same holds for answers to greetings.

TestReplyOutOfRangeShutsOutTheAgent now also has a reply that is overtaken by 10 s, which the code before took for newer.

--- a/site/entry_greet.go
+++ b/site/entry_greet.go
@@ -138,6 +138,7 @@
 func (e *Entry) greetOnce(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), greetAnswerTimeout)
 	defer cancel()
+	sentAt := e.now()
 	args := e.greeting(address)
 	args.Panel = nil
 	rep, err := wire.Call[GreetArgs, GreetReply](ctx, e.peer(address), entryGreet, &args)
@@ -145,14 +146,15 @@
 		return false
 	}
 	e.greetingAnswered(address)
-	e.takeGreeting(rep)
+	e.takeGreeting(sentAt, rep)
 	return true
 }
 
 // peerStamp is the last stamp that an incarnation of another entry has sent.
 type peerStamp struct {
-	life  string
-	stamp time.Duration
+	life       string
+	stamp      time.Duration
+	receivedAt time.Time
 }
 
 // peer is the connection to another entry.
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -34,7 +34,7 @@
 
 // Greet takes a greeting of another entry and returns this entry's own.
 func (m *entryMethods) Greet(args *GreetArgs, reply *GreetReply) error {
-	m.e.takeGreeting((*GreetReply)(args))
+	m.e.takeGreeting(time.Time{}, (*GreetReply)(args))
 	*reply = GreetReply(m.e.greeting(args.Member.Address))
 	if reply.Sum == args.Sum {
 		reply.Panel = nil
@@ -75,8 +75,9 @@
 	return h.Sum64()
 }
 
-// takeGreeting processes a greeting of another entry.
-func (e *Entry) takeGreeting(g *GreetReply) {
+// takeGreeting processes a greeting of another entry. If it answers a greeting of this one, that
+// was sent at sentAt; otherwise sentAt is zero.
+func (e *Entry) takeGreeting(sentAt time.Time, g *GreetReply) {
 	e.mu.Lock()
 	e.roster.RecordContact(e.now(), g.Member)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
@@ -85,8 +86,10 @@
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
-	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp || known.stamp-g.Stamp > maxReplyAge {
-		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp}
+	// An answer to a greeting that was sent after the known stamp was received has a later one,
+	// unless that was out of range.
+	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp || sentAt.After(known.receivedAt) {
+		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp, e.now()}
 	}
 	e.mu.Unlock()
 	e.knownEntries.add(e.now(), g.Panel...)
--- a/site/link.go
+++ b/site/link.go
@@ -121,6 +121,7 @@
 		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
 	}
 	args.Tenure = l.ledgerTenure()
+	sentAt := l.h.e.now()
 	l.h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
 	defer cancel()
@@ -140,7 +141,7 @@
 	if l.closed() {
 		return false // another link may have newer reports by now
 	}
-	l.takeReply(rep)
+	l.takeReply(sentAt, rep)
 	return true
 }
 
@@ -158,13 +159,9 @@
 	return t
 }
 
-// maxReplyAge is longer than any exchange between two processes; replies may overtake one another
-// by less.
-const maxReplyAge = time.Second
-
-// takeReply processes the reply of an exchange: the agent's incarnation, its
+// takeReply processes the reply of an exchange that began at sentAt: the agent's incarnation, its
 // acknowledgement of orders and its report. The caller holds home.mu.
-func (l *link) takeReply(rep *SyncReply) {
+func (l *link) takeReply(sentAt time.Time, rep *SyncReply) {
 	if rep.Report.Life != l.life {
 		l.life, l.orders, l.echo, l.targetVersion = rep.Report.Life, nil, 0, 0
 	}
@@ -172,8 +169,9 @@
 		l.target = rep.Report.Target
 		l.targetVersion = rep.Target
 	}
-	// A reply that is older by more than an exchange takes shows that echo was out of range.
-	stale := rep.Stamp < l.echo && l.echo-rep.Stamp <= maxReplyAge
+	// The stamp of an exchange that began after echo was received is later, unless echo was out
+	// of range.
+	stale := rep.Stamp < l.echo && !sentAt.After(l.echoReceived)
 	if !stale && rep.Stamp != l.echo {
 		l.echo, l.echoReceived = rep.Stamp, l.h.e.now()
 	}
--- a/site/link_test.go
+++ b/site/link_test.go
@@ -41,7 +41,7 @@
 	if l == nil {
 		t.Fatal("no link to the agent was opened")
 	}
-	l.takeReply(&SyncReply{Stamp: time.Hour, Report: schedule.Report{Life: "life-1"}})
+	l.takeReply(time.Now(), &SyncReply{Stamp: time.Hour, Report: schedule.Report{Life: "life-1"}})
 	if len(l.orders) != 1 {
 		t.Errorf("got %d orders to send, want 1", len(l.orders))
 	}
@@ -63,7 +63,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.links["a1"] = newLink(h, "a1")
-		h.links["a1"].takeReply(&SyncReply{Stamp: time.Hour})
+		h.links["a1"].takeReply(time.Now(), &SyncReply{Stamp: time.Hour})
 		h.sendOrders("a1", orderBatch{Starts: []work.Start{{}}})
 		l := h.links["a1"]
 		l.close()
--- a/site/malformed_test.go
+++ b/site/malformed_test.go
@@ -20,18 +20,19 @@
 	defer h.mu.Unlock()
 	l := newLink(h, "a1")
 	h.links["a1"] = l
-	l.takeReply(&SyncReply{Stamp: time.Hour, Report: schedule.Report{Life: "life-1"}})
+	began := time.Now()
+	l.takeReply(began, &SyncReply{Stamp: time.Hour, Report: schedule.Report{Life: "life-1"}})
 	h.sendOrders("a1", orderBatch{Starts: []work.Start{{}}})
-	l.takeReply(&SyncReply{Stamp: math.MaxInt64, Taken: math.MaxUint64, Report: schedule.Report{Life: "life-1"}})
+	l.takeReply(began, &SyncReply{Stamp: math.MaxInt64, Taken: math.MaxUint64, Report: schedule.Report{Life: "life-1"}})
 	if len(l.orders) != 1 {
 		t.Errorf("%d orders to send, want 1", len(l.orders))
 	}
 	next := time.Hour + 100*time.Millisecond
-	l.takeReply(&SyncReply{Stamp: next, Report: schedule.Report{Life: "life-1"}})
+	l.takeReply(time.Now(), &SyncReply{Stamp: next, Report: schedule.Report{Life: "life-1"}})
 	if l.echo != next {
 		t.Errorf("echo %v, want %v", l.echo, next)
 	}
-	l.takeReply(&SyncReply{Stamp: time.Hour, Report: schedule.Report{Life: "life-1"}})
+	l.takeReply(began, &SyncReply{Stamp: next - 10*time.Second, Report: schedule.Report{Life: "life-1"}})
 	if l.echo != next {
 		t.Errorf("echo %v after a reply that was overtaken, want %v", l.echo, next)
 	}
@@ -48,7 +49,7 @@
 	greet := func(session, term uint64, stamp time.Duration) {
 		m := peer
 		m.Term = term
-		e.takeGreeting(&GreetReply{Member: m, Session: session, Stamp: stamp})
+		e.takeGreeting(time.Now(), &GreetReply{Member: m, Session: session, Stamp: stamp})
 	}
 	greet(3, 0, time.Hour)
 	greet(math.MaxUint64, math.MaxUint64, math.MaxInt64)
--- a/site/reattach_test.go
+++ b/site/reattach_test.go
@@ -61,7 +61,7 @@
 			e := testEntry()
 			e.network = wire.OrTCP(nil)
 			e.peers, e.sessions, e.jobsAt = make(map[string]*peer), make(map[string]uint64), make(map[string]int)
-			e.stamps = map[string]peerStamp{address: {home.Life, time.Second}}
+			e.stamps = map[string]peerStamp{address: {life: home.Life, stamp: time.Second}}
 			e.roster.RecordContact(time.Now(), home)
 			out, _, err := e.runAt(t.Context(), home, &RunArgs{Job: work.Job{ID: "j"}})
 			if broken := errors.Is(err, wire.ErrBroken); broken != tc.broken {
