Divide a site into cells when its load outgrows one home

The log shows the cause: at 4.6 s, in a burst of 2.3 times the long jobs, the one home of 62 agents runs out of processor time while hardly a task waits; agents and entries do not get answers from it within 120 and 350 ms, give it up, and hand its jobs to the next home, which doubles the work: 13,674 jobs lost their home before the load fell. The site has fewer than 80 agents, so it is not divided, however many jobs it gets.

Homes report how many tasks they start each second; the home of the site divides it from 2,500 a second and core of its VM on, among entries that have three quarters of its cores, and keeps the division for 30 s after the load has fallen. Sites below that rate are not divided.

--- a/site/entry.go
+++ b/site/entry.go
@@ -66,6 +66,7 @@
 
 	mu           sync.Mutex // guards what follows
 	roster       *roster.Roster
+	division     roster.Division
 	peers        map[string]*peer        // by address
 	agents       map[string]agentContact // by address
 	onPanelSince time.Time               // zero if this entry is not on the panel
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -18,6 +18,7 @@
 type homeReport struct {
 	waiting    map[string]int // by queue: jobs that have not started
 	delay      time.Duration  // how long a new job would wait there
+	startRate  float64        // tasks that it starts each second
 	vacant     bool           // no job is stored on the site
 	receivedAt time.Time
 }
@@ -115,11 +116,29 @@
 func (e *Entry) updateCells(storesJobs bool) {
 	n := 1
 	if !storesJobs {
-		n = roster.CellCount(len(e.agents), e.cellSize, len(e.roster.Homes(e.now())))
+		now := e.now()
+		current := len(e.roster.Homes(now))
+		byLoad := e.division.Cells(now, e.siteStartRate(now), e.node.Cores, current, e.roster.StrongEntries(now))
+		n = max(roster.CellCount(len(e.agents), e.cellSize, current), byLoad)
 	}
 	e.roster.SetCells(n)
 }
 
+// siteStartRate returns how many tasks the homes of all cells start each second. The
+// caller holds mu.
+func (e *Entry) siteStartRate(now time.Time) float64 {
+	rate := 0.0
+	for _, m := range e.roster.Homes(now) {
+		switch report, ok := e.homeReports[m.Address]; {
+		case m.Life == e.life:
+			rate += e.home.status.Load().startRate
+		case ok && now.Sub(report.receivedAt) <= homeContactTimeout:
+			rate += report.startRate
+		}
+	}
+	return rate
+}
+
 // vacant reports whether the home of the site has said lately that no job is stored.
 func (e *Entry) vacant() bool {
 	e.mu.Lock()
@@ -128,3 +147,15 @@
 	report := e.homeReports[m.Address]
 	return ok && report.vacant && e.now().Sub(report.receivedAt) <= homeContactTimeout
 }
+
+// maxStartRate bounds the rate that a home reports: a malformed message must not divide
+// the site.
+const maxStartRate = 1e5
+
+// validRate returns a reported rate of starts, or 0 if it is out of range.
+func validRate(rate float64) float64 {
+	if rate >= 0 && rate <= maxStartRate {
+		return rate
+	}
+	return 0
+}
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -61,7 +61,7 @@
 	}
 	e.mu.Unlock()
 	if st := e.home.status.Load(); args.Member.Term > 0 || args.Member.Places {
-		args.Waiting, args.Delay, args.Vacant = st.waiting, st.delay, st.vacant
+		args.Waiting, args.Delay, args.Vacant, args.StartRate = st.waiting, st.delay, st.vacant, st.startRate
 	}
 	return args
 }
@@ -82,7 +82,7 @@
 	e.roster.RecordContact(e.now(), g.Member)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
-		e.homeReports[g.Member.Address] = homeReport{g.Waiting, g.Delay, g.Vacant, e.now()}
+		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, receivedAt: e.now()}
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"masticbay/ledger"
+	"masticbay/roster"
 	"masticbay/schedule"
 	"masticbay/work"
 )
@@ -30,6 +31,7 @@
 	wasHome        bool      // this entry was home of a cell at lastLinkUpdate
 	siteAgents     int       // number of all agents of the site at lastLinkUpdate
 	core           *schedule.Core
+	startRate      roster.StartRate
 	waiters        map[string][]*waiter    // by job
 	links          map[string]*link        // by agent
 	entries        map[string]entryContact // by incarnation
@@ -66,6 +68,7 @@
 	delay      time.Duration  // how long a new job would wait
 	vacant     bool           // no job is stored on the site
 	storesJobs bool           // jobs are stored on the site, or are to be stored
+	startRate  float64        // tasks that this home starts each second
 }
 
 // entryContact is the newest session of an entry that submits jobs to this home,
@@ -296,7 +299,7 @@
 // publishStatus updates the status that is reported to other entries. The caller holds
 // mu.
 func (h *home) publishStatus(now time.Time) {
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs()})
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), startRate: h.startRate.PerSecond(now)})
 }
 
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
--- a/site/home_decisions.go
+++ b/site/home_decisions.go
@@ -14,8 +14,13 @@
 		delete(h.waiters, answer.Job)
 	}
 	agents := make(map[string]bool)
+	starts := 0
 	for agent := range d.Starts {
 		agents[agent] = true
+		starts += len(d.Starts[agent])
+	}
+	if starts > 0 {
+		h.startRate.Add(h.e.now(), starts)
 	}
 	for agent := range d.Stops {
 		agents[agent] = true
--- a/site/messages.go
+++ b/site/messages.go
@@ -87,8 +87,10 @@
 	Waiting map[string]int // by queue: jobs that have not started, if the sender is home
 	Delay   time.Duration  // how long a new job would wait, if the sender is home
 	Vacant  bool           // no job is stored on the site, if the sender is home
-	Stamp   time.Duration  // the sender's time
-	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
+	// StartRate is the number of tasks that the sender starts each second, if it is home.
+	StartRate float64
+	Stamp     time.Duration // the sender's time
+	Echo      time.Duration // the receiver's last stamp that the sender has; 0 if it has none
 }
 
 // GreetReply is the receiver's own greeting.
