Keep cells that are divided off for the load large enough

A site of 11 workers in a burst could have been divided into cells of five, whose load varies too much; sites of that size have been served well by one home. A cell that is divided off for the load has at least half of cellSize agents now.

Test: TestSmallSiteIsNotDivided.

--- a/roster/load.go
+++ b/roster/load.go
@@ -27,10 +27,10 @@
 
 // Cells returns the number of cells for a number of tasks that start on the site each
 // second, homes of a number of cores, and the current number of cells. It is at most
-// strong, the number of entries that can carry a cell.
-func (d *Division) Cells(now time.Time, startRate, cores float64, current, strong int) int {
+// limit; see DivisionLimit.
+func (d *Division) Cells(now time.Time, startRate, cores float64, current, limit int) int {
 	n := max(int(math.Ceil(startRate/max(maxStartsPerCore*cores, 1))), 1)
-	n = min(n, max(strong, 1), maxCells)
+	n = min(n, max(limit, 1))
 	if n >= current {
 		d.lowSince = time.Time{}
 		return n
@@ -39,12 +39,19 @@
 		d.lowSince = now
 	}
 	if now.Sub(d.lowSince) < divisionRetention {
-		return min(current, max(strong, 1))
+		return min(current, max(limit, 1))
 	}
 	d.lowSince = time.Time{}
 	return n
 }
 
+// DivisionLimit returns the largest number of cells into which a site is divided for its
+// load: one for each of the entries that can carry a cell, and none with fewer than half
+// the usual number of agents, since the load of a small cell varies too much.
+func DivisionLimit(agents, size, strongEntries int) int {
+	return max(min(2*agents/max(size, 1), strongEntries, maxCells), 1)
+}
+
 // strongHomeShare is the share of a home's cores that another entry must have to be
 // home of a cell that was divided off for the load.
 const strongHomeShare = 0.75
--- a/roster/load_test.go
+++ b/roster/load_test.go
@@ -11,7 +11,7 @@
 // and falls behind: the site is divided while the load is high, among strong entries only,
 // and stays divided through the waves of a day.
 func TestBurstOutgrowsOneHome(t *testing.T) {
-	const cores, strong = 0.8, 4
+	const cores, limit = 0.8, 4
 	var d roster.Division
 	now, cells := time.Unix(1000, 0), 1
 	for _, step := range []struct {
@@ -25,19 +25,29 @@
 		{time.Second, 1200, 2},     // the trough of a wave
 		{20 * time.Second, 900, 2}, // not low for long enough
 		{time.Second, 4500, 3},     // a burst
-		{time.Second, 90000, 4},    // bounded by the strong entries
+		{time.Second, 90000, 4},    // the limit
 		{time.Second, 3300, 4},
 		{31 * time.Second, 3300, 2},
 		{time.Second, 0, 2},
 		{31 * time.Second, 0, 1},
 	} {
 		now = now.Add(step.after)
-		if cells = d.Cells(now, step.rate, cores, cells, strong); cells != step.want {
+		if cells = d.Cells(now, step.rate, cores, cells, limit); cells != step.want {
 			t.Errorf("at %.0f starts a second: %d cells, want %d", step.rate, cells, step.want)
 		}
 	}
 }
 
+// TestSmallSiteIsNotDivided guards against cells of a few workers, which can not balance
+// the load of a burst.
+func TestSmallSiteIsNotDivided(t *testing.T) {
+	for _, tc := range []struct{ agents, strong, want int }{{11, 4, 1}, {39, 4, 1}, {54, 4, 2}, {62, 4, 3}, {77, 6, 3}, {240, 4, 4}, {62, 0, 1}} {
+		if got := roster.DivisionLimit(tc.agents, 40, tc.strong); got != tc.want {
+			t.Errorf("%d agents, %d strong entries: at most %d cells, want %d", tc.agents, tc.strong, got, tc.want)
+		}
+	}
+}
+
 // TestWeakEntriesCarryNoCell guards against a cell that is given to an entry with a
 // quarter of the home's processor, which would fall behind at once.
 func TestWeakEntriesCarryNoCell(t *testing.T) {
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -118,7 +118,8 @@
 	if !storesJobs {
 		now := e.now()
 		current := len(e.roster.Homes(now))
-		byLoad := e.division.Cells(now, e.siteStartRate(now), e.node.Cores, current, e.roster.StrongEntries(now))
+		limit := roster.DivisionLimit(len(e.agents), e.cellSize, e.roster.StrongEntries(now))
+		byLoad := e.division.Cells(now, e.siteStartRate(now), e.node.Cores, current, limit)
 		n = max(roster.CellCount(len(e.agents), e.cellSize, current), byLoad)
 	}
 	e.roster.SetCells(n)
