--- a/store/memory.go
+++ b/store/memory.go
@@ -147,6 +147,20 @@
 	return m.rev, nil
 }
 
+// Deletions returns the keys under prefix that were deleted after a revision, with the
+// revision of their last deletion. They may exist again.
+func (m *Memory) Deletions(prefix string, after uint64) map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	deleted := make(map[string]uint64)
+	for key, rev := range m.deletions {
+		if strings.HasPrefix(key, prefix) && rev > after {
+			deleted[key] = rev
+		}
+	}
+	return deleted
+}
+
 func (m *Memory) write(key string, value []byte, lease string) uint64 {
 	m.rev++
 	m.items[key] = memoryItem{Item: Item{Key: key, Value: slices.Clone(value), Revision: m.rev}, lease: lease}
