Place and start no task in an evacuated data centre

The home counted workers of evacuated data centres like all others, and their agents took every start.

The scheduler no longer counts such workers as capacity, alternatives or targets of moved runs. Jobs that wait for them are placed elsewhere at once; if all workers that could run a job are evacuated, it is rejected at once with that reason. Runs end in place, tasks of lasting jobs are moved while another worker is free. The agent refuses starts with a reason of its own, after which the home neither waits nor counts a failure. A home or an agent that has just started can hold tasks until the set is known.

No process sets evacuations yet.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -13,6 +13,7 @@
 	reasonTooLate   = "it could not end in time"
 	reasonTooMany   = "too many tasks wait"
 	reasonTooLarge  = "no worker has the room that a task asks for"
+	reasonEvacuated = "all workers that could run it are in evacuated data centres"
 )
 
 // defaultRetry is the retry time when the waiting work gives no better figure.
@@ -22,6 +23,9 @@
 // and after what time a retry is likely to succeed. For a new job it also counts
 // the work that waits before it.
 func (c *Core) rejectReason(now time.Time, j *job, capacity *serviceCapacity, isNew bool) (reason string, retry time.Duration) {
+	if !j.Lasts && j.Times == 0 && c.needsEvacuated(now, j, capacity) {
+		return reasonEvacuated, defaultRetry
+	}
 	if capacity.speed == 0 {
 		return reasonNoWorkers, defaultRetry
 	}
@@ -58,13 +62,23 @@
 	speed       float64   // total CPU in thousandths of a core, scaled to slowness 1
 	maxCapacity work.Room // largest of each resource on any worker
 	minSlowness float64   // of the fastest worker
+	evacuated   int       // number of evacuated workers, which count for nothing else
+	others      int       // number of other workers that have not left
 }
 
 func (c *Core) serviceCapacity(now time.Time, service string) *serviceCapacity {
 	capacity := &serviceCapacity{minSlowness: math.Inf(1)}
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if t.Service != service || !c.isUsable(now, t) {
+		if t.Service != service {
+			continue
+		}
+		if c.isEvacuated(t) {
+			capacity.evacuated++
+		} else if c.mayReturn(now, t) {
+			capacity.others++
+		}
+		if !c.isUsable(now, t) {
 			continue
 		}
 		capacity.speed += float64(t.Capacity.CPU) / t.slowness()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -40,6 +40,7 @@
 import (
 	"time"
 
+	"masticbay/evacuation"
 	"masticbay/work"
 	"masticbay/worker"
 )
@@ -81,6 +82,8 @@
 	sealing        []*job           // are not placed before agents have sealed them
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
+	evacuated      evacuation.Set
+	placementHeld  bool // until the evacuated data centres are known
 	decisions      Decisions
 }
 
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -171,8 +171,8 @@
 func (c *Core) backOff(now time.Time, t *target, e Event) {
 	backoff := time.Duration(0)
 	switch {
-	case e.End != work.Refused:
-		return
+	case e.End != work.Refused, e.Reason == worker.Evacuated:
+		return // an evacuated worker is not usable, by the report that holds e
 	case e.Reason == refusedUnwell:
 		backoff = unwellBackoff
 	case e.Reason == refusedOld:
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -49,7 +49,7 @@
 // placeWaiting places waiting tasks on workers that have free capacity.
 func (c *Core) placeWaiting(now time.Time) {
 	open := c.openTargets(now)
-	if len(open) == 0 {
+	if len(open) == 0 || c.placementHeld {
 		return
 	}
 	maxFree := maxFreeCPU(open)
@@ -82,14 +82,14 @@
 	return open
 }
 
-// isUsable reports whether a worker is in contact, takes starts, is not draining and
-// belongs to this home.
+// isUsable reports whether a worker is in contact, takes starts, is neither draining nor
+// evacuated, and belongs to this home.
 func (c *Core) isUsable(now time.Time, t *target) bool {
 	contactTimeout := max(c.cfg.SuspectAfter, c.cfg.SuspectIdleAfter)
 	if len(t.runs) > 0 {
 		contactTimeout = c.cfg.SuspectAfter
 	}
-	return t.ready && !t.excluded && !t.Draining && now.Sub(t.lastContact) <= contactTimeout
+	return t.ready && !t.excluded && !t.Draining && !c.isEvacuated(t) && now.Sub(t.lastContact) <= contactTimeout
 }
 
 // maxFreeCPU returns the largest free CPU capacity of any worker. Under load
@@ -243,6 +243,11 @@
 
 // suits reports whether a worker could run tasks of a step if none ran there.
 func (c *Core) suits(j *job, step *work.Step, t *target) bool {
+	return !c.isEvacuated(t) && c.couldRun(j, step, t)
+}
+
+// couldRun is suits if no data centre were evacuated.
+func (c *Core) couldRun(j *job, step *work.Step, t *target) bool {
 	return (!j.Stored || c.tenureConfirmedBy(t)) && t.Service == j.Queue.Service && t.Capacity.Holds(step.Room) &&
 		(step.Label == "" || slices.Contains(t.Labels, step.Label))
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -22,6 +22,8 @@
 	Epoch   uint64       // of the tenure that the agent obeys
 	Asked   bool         // Kept was requested and is complete
 	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
+	// Evacuated is set if the agent refuses starts because its data centre is evacuated.
+	Evacuated bool
 }
 
 // Event reports how a run ended.
@@ -39,8 +41,8 @@
 	t, serves := g.Target()
 	_, others := g.Used(home)
 	return Report{
-		Epoch:  g.Epoch(),
-		Target: t, Ready: serves && !g.OutOfContact() && !g.RenewalPaused() && !g.LeaseWithheld(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
+		Epoch: g.Epoch(), Evacuated: g.Evacuated(),
+		Target: t, Ready: serves && !g.OutOfContact() && !g.StartsHeld() && !g.RenewalPaused() && !g.LeaseWithheld(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
 		Pace: g.Pace(), Idle: g.StalledRuns(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
 }
@@ -74,8 +76,8 @@
 		t.logSlowness, t.consecutiveFailures = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}, 0
 		t.updateSlowness()
 	}
-	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || now.Sub(t.lastContact) > c.cfg.SuspectAfter
-	t.Target, t.ready, t.usedByOthers, t.lastContact = r.Target, r.Ready, r.Others, now
+	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
+	t.Target, t.ready, t.usedByOthers, t.saysEvacuated, t.lastContact = r.Target, r.Ready, r.Others, r.Evacuated, now
 	changed = c.adopt(now, t, r) || changed
 	for _, e := range r.Events {
 		if e.Seq > t.lastSeq {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -16,6 +16,7 @@
 	lastContact         time.Time
 	ready               bool      // the agent takes starts
 	excluded            bool      // it belongs to another home
+	saysEvacuated       bool      // the agent refuses starts because its data centre is evacuated
 	used                work.Room // by runs that this home placed
 	usedByOthers        work.Room // by runs of other entries, as reported
 	runs                map[work.TaskRef]work.Run
--- a/worker/order.go
+++ b/worker/order.go
@@ -42,7 +42,8 @@
 	StaleEcho = "staleEcho" // the order may have been in transit for too long, or the echo is none of this agent's times
 	Occupied  = "occupied"  // another run of the task has not ended here
 	NoRoom    = "noRoom"
-	SealedJob = "sealed" // another home has the job
+	SealedJob = "sealed"    // another home has the job
+	Evacuated = "evacuated" // the worker's data centre is evacuated
 )
 
 func (g *Guard) refusalReason(now time.Time, entry string, echo time.Time, s *work.Start) string {
@@ -51,7 +52,9 @@
 	switch {
 	case g.isSealed(s.Run):
 		return SealedJob
-	case !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.settledOnce || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
+	case g.Evacuated():
+		return Evacuated
+	case g.startsHeld, !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.settledOnce || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
 		return Unready
 	case s.Stored && !g.holdsTenure(now, entry):
 		return Untenured
@@ -90,11 +93,14 @@
 		if !known.stopRequestedAt.IsZero() {
 			g.stop(now, known, stopRepeated)
 		}
-	case tokenRejected && known.token < g.token && known.stopRequestedAt.IsZero() && !g.hasOverdueRun(now):
+	case tokenRejected && known.token < g.token && known.stopRequestedAt.IsZero() && !g.hasOverdueRun(now) && !g.Evacuated():
 		g.sendStart(now, known)
 	default:
 		if tokenRejected {
 			g.TokenRejected(now, 0, known.token)
+			if g.Evacuated() {
+				reason = Evacuated // the home need not wait before it places the task elsewhere
+			}
 		}
 		g.finish(now, r.Task, work.Refused, reason)
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -48,6 +48,7 @@
 	"slices"
 	"time"
 
+	"masticbay/evacuation"
 	"masticbay/work"
 )
 
@@ -130,6 +131,8 @@
 	mayListInherited bool      // listed ends may come from an earlier incarnation of the agent
 	renewalPausedAt  time.Time // since when the lease is not renewed; zero while it is renewed
 	withheld         bool      // the lease is not renewed, as a run goes on without permission
+	evacuated        evacuation.Set
+	startsHeld       bool // until the evacuated data centres are known
 }
 
 // NewGuard returns a Guard of a worker that has not sent a heartbeat yet.
