Follow the evacuated data centres at entries and agents

No process read the operator's evacuations, which counts as acting on none of them.

Entries exchange the revision and a hash in greetings and fetch a set that differs. Cells get their share of the workers that are not evacuated. All new fields of messages are additions, and stay empty where the settings have no bound for evacuations; nothing is read or watched there.

--- a/site/agent.go
+++ b/site/agent.go
@@ -49,6 +49,7 @@
 	network       wire.Network
 	stop          chan struct{}
 	entries       entryList
+	evacuations   evacuations
 
 	mu            sync.Mutex // guards what follows
 	guard         *worker.Guard
@@ -75,6 +76,10 @@
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(GuardConfig(o.Node)), leaseWithheld: true, eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64),
 	}
+	a.evacuations.init(o.Node, a.store, a.log, a.now, a.setEvacuated)
+	if a.evacuations.isActive {
+		a.guard.HoldStarts()
+	}
 	a.entries.add(a.now(), o.Node.Entries...)
 	if a.rpc, err = wire.NewServer("Agent", &agentMethods{a}, nil); err != nil {
 		return nil, err
@@ -93,6 +98,7 @@
 	}
 	go a.tickDuty()
 	go a.announceDuty()
+	a.startEvacuations()
 	a.log.Info().Str("life", a.life).Str("node", a.node.Name).Str("worker", a.node.Worker).Msg("agent started")
 	return a, nil
 }
@@ -163,6 +169,9 @@
 		a.log.Warn().Str("worker", rep.Target.ID).Str("service", rep.Target.Service).Msg("heartbeat of another service ignored")
 		return
 	}
+	if a.evacuations.isActive && rep.Target.Zone == "" {
+		rep.Target.Zone = a.node.DataCentre
+	}
 	if rep.Leaving {
 		if known && before.ID == rep.Target.ID {
 			a.guard.Leave()
@@ -174,7 +183,7 @@
 			go a.poll(0)
 		}
 	}
-	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born {
+	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born || a.evacuations.isActive && after.Zone != before.Zone {
 		a.targetChanged()
 		go a.poll(0)
 	}
--- a/site/agent_announce.go
+++ b/site/agent_announce.go
@@ -141,7 +141,7 @@
 func (a *Agent) announce(c *wire.Client) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), greetTimeout)
 	defer cancel()
-	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service, Kind: a.workerKind()}
+	args := AnnounceArgs{Address: a.node.Internal, Service: a.node.Service, Kind: a.workerKind(), DataCentre: a.announcedDataCentre()}
 	rep, err := wire.Call[AnnounceArgs, AnnounceReply](ctx, c, entryAnnounce, &args)
 	if err != nil {
 		c.Reset()
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"slices"
 	"time"
 
 	"masticbay/schedule"
@@ -16,6 +17,7 @@
 // Sync takes orders from a home, waits for events (a long poll), and returns a report.
 func (m *agentMethods) Sync(args *SyncArgs, reply *SyncReply) error {
 	a := m.a
+	a.evacuations.take(args.Evacuation, "home "+args.Home)
 	a.mu.Lock()
 	a.guard.RecordContact(a.now(), args.Home, fromStamp(args.Echo))
 	wasPaused := a.guard.RenewalPaused()
@@ -40,6 +42,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if s := a.evacuations.set(); s.Revision > args.Evacuation.Revision && !slices.Equal(s.DataCentres, args.Evacuation.DataCentres) {
+		reply.Evacuation = s
+	}
 	reply.Stamp = toStamp(a.now())
 	reply.Taken = a.lastOrders[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
--- a/site/entry.go
+++ b/site/entry.go
@@ -58,6 +58,7 @@
 	home           *home
 	knownEntries   entryList
 	config         atomic.Pointer[configInForce]
+	evacuations    evacuations
 	leaving        atomic.Bool
 	ending         context.Context // done when open requests must be answered at once
 	answerAll      context.CancelCauseFunc
@@ -72,7 +73,9 @@
 	// lostAgents holds when agents that are out of contact last announced themselves.
 	lostAgents map[string]time.Time
 	fetching   map[string]bool // by address: a configuration is being fetched from this entry
-	lastHome   string
+	// fetchingEvacuated is the same for the evacuated data centres.
+	fetchingEvacuated map[string]bool
+	lastHome          string
 	// lastHomes are the homes of all cells at the last update, by their incarnations.
 	lastHomes   []string
 	sessions    map[string]uint64     // by address of a home; see RunArgs
@@ -89,7 +92,7 @@
 	}
 	e = &Entry{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store, dialOf(o.Network)), network: wire.OrTCP(o.Network), metrics: newEntryMetrics(),
-		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), stamps: make(map[string]peerStamp), fetching: make(map[string]bool),
+		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), stamps: make(map[string]peerStamp), fetching: make(map[string]bool), fetchingEvacuated: make(map[string]bool),
 		sessions: make(map[string]uint64), jobsAt: make(map[string]int),
 	}
 	e.startedAt = e.now()
@@ -97,6 +100,7 @@
 	e.ending, e.answerAll = context.WithCancelCause(context.Background())
 	self := roster.Member{Name: o.Node.Name, Address: o.Node.Internal, Life: e.life, Cores: o.Node.Cores, Seals: true}
 	e.roster = roster.New(e.clock.Now(), self, rosterConfig())
+	e.evacuations.init(o.Node, e.store, e.log, e.now, e.setEvacuated)
 	e.home = newHome(e)
 	e.knownEntries.add(e.now(), o.Node.Entries...)
 	if e.rpc, err = wire.NewServer("Entry", &entryMethods{e}, nil); err != nil {
@@ -107,6 +111,7 @@
 	}
 	go e.configWatchDuty()
 	go e.configReadDuty()
+	e.startEvacuations()
 	go e.registerDuty()
 	go e.greetDuty()
 	go e.home.duty()
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -11,6 +11,7 @@
 // agentContact is what an entry knows about an agent from its announcements.
 type agentContact struct {
 	kind          string // service and kind of its worker
+	dataCentre    string // of its worker; empty if data centres are not evacuated
 	lastAnnounced time.Time
 }
 
@@ -103,12 +104,21 @@
 		return cell, len(cell)
 	}
 	agents := make([]roster.Agent, 0, len(e.agents))
+	evacuated := e.evacuations.set()
 	for a, c := range e.agents {
-		agents = append(agents, roster.Agent{Address: a, Kind: c.kind})
+		kind := c.kind
+		if evacuated.Has(c.dataCentre) {
+			kind += evacuatedKind
+		}
+		agents = append(agents, roster.Agent{Address: a, Kind: kind})
 	}
 	return roster.Cell(agents, homes, e.node.Internal), len(agents)
 }
 
+// evacuatedKind is added to the kind of evacuated workers, so that every cell gets its share
+// of the others.
+const evacuatedKind = "/evacuated"
+
 // updateCells sets into how many cells this entry would divide the site. A site that
 // stores jobs is not divided, since one home holds the ledger and places their tasks.
 // The caller holds mu.
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -21,7 +21,7 @@
 	e := m.e
 	e.mu.Lock()
 	_, known := e.agents[args.Address]
-	e.agents[args.Address] = agentContact{args.Service + "/" + args.Kind, e.now()}
+	e.agents[args.Address] = agentContact{args.Service + "/" + args.Kind, args.DataCentre, e.now()}
 	delete(e.lostAgents, args.Address)
 	reply.Panel = e.roster.Panel(e.now())
 	e.mu.Unlock()
@@ -60,6 +60,7 @@
 		args.Config = c.Version()
 	}
 	e.mu.Unlock()
+	args.Evacuation = e.evacuations.mark()
 	if st := e.home.status.Load(); args.Member.Term > 0 || args.Member.Places {
 		args.Waiting, args.Delay, args.Vacant = st.waiting, st.delay, st.vacant
 	}
@@ -100,6 +101,9 @@
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
+	if e.evacuations.isNewer(g.Evacuation) {
+		go e.fetchEvacuated(g.Member.Address)
+	}
 }
 
 // currentHome returns the home and whether there is one.
--- a/site/home.go
+++ b/site/home.go
@@ -104,6 +104,9 @@
 		},
 	}
 	h.status.Store(&homeStatus{})
+	if e.evacuations.isActive {
+		h.core.HoldPlacement()
+	}
 	return h
 }
 
--- a/site/link.go
+++ b/site/link.go
@@ -120,7 +120,7 @@
 	if life, known := l.h.core.LastReceived(l.agent); life == l.life {
 		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
 	}
-	args.Tenure = l.ledgerTenure()
+	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
 	sentAt := l.h.e.now()
 	l.h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
@@ -136,6 +136,7 @@
 	if l.outOfContact.Swap(false) {
 		l.h.e.log.Info().Str("agent", l.agent).Msg("agent answers")
 	}
+	l.h.e.evacuations.take(rep.Evacuation, "agent "+l.agent)
 	l.h.mu.Lock()
 	defer l.h.mu.Unlock()
 	if l.closed() {
--- a/site/messages.go
+++ b/site/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticbay/evacuation"
 	"masticbay/roster"
 	"masticbay/schedule"
 	"masticbay/work"
@@ -11,16 +12,17 @@
 
 // The RPC methods of the processes of a site.
 const (
-	agentSync     = "Agent.Sync"
-	entryAnnounce = "Entry.Announce"
-	entryGreet    = "Entry.Greet"
-	entryRun      = "Entry.Run"
-	entryWithdraw = "Entry.Withdraw"
-	entryConfig   = "Entry.Config"
-	entryAccept   = "Entry.Accept"
-	entryState    = "Entry.State"
-	entryCancel   = "Entry.Cancel"
-	entryStore    = "Entry.Store"
+	agentSync      = "Agent.Sync"
+	entryAnnounce  = "Entry.Announce"
+	entryGreet     = "Entry.Greet"
+	entryRun       = "Entry.Run"
+	entryWithdraw  = "Entry.Withdraw"
+	entryConfig    = "Entry.Config"
+	entryEvacuated = "Entry.Evacuated"
+	entryAccept    = "Entry.Accept"
+	entryState     = "Entry.State"
+	entryCancel    = "Entry.Cancel"
+	entryStore     = "Entry.Store"
 )
 
 // orderBatch holds orders of a home to an agent under a rising sequence number.
@@ -45,6 +47,8 @@
 	Tenure tenureArgs    // the home's tenure of the ledger
 	Target uint64        // version of the worker's description that the home has
 	Wait   time.Duration // for events (long poll)
+	// Evacuation is the evacuated data centres, as the home knows them.
+	Evacuation evacuation.Set
 }
 
 // tenureArgs describes a home's tenure of the ledger to an agent.
@@ -61,6 +65,8 @@
 	Taken  uint64          // orders up to this number were received
 	Target uint64          // version of the worker's description
 	Report schedule.Report // includes Target only if the home has another version
+	// Evacuation is set if the agent has a newer set than the home.
+	Evacuation evacuation.Set
 }
 
 // AnnounceArgs announces an agent to an entry.
@@ -68,6 +74,8 @@
 	Address string
 	Service string
 	Kind    string // of the worker; empty until the worker has described itself
+	// DataCentre is that of the worker; empty if data centres are not evacuated.
+	DataCentre string
 }
 
 // AnnounceReply lists the entries to which the agent has to announce itself.
@@ -89,6 +97,8 @@
 	Vacant  bool           // no job is stored on the site, if the sender is home
 	Stamp   time.Duration  // the sender's time
 	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
+	// Evacuation identifies the sender's set of evacuated data centres.
+	Evacuation evacuation.Mark
 }
 
 // GreetReply is the receiver's own greeting.
@@ -136,6 +146,14 @@
 	Revision uint64 // of its key in the store
 }
 
+// EvacuatedArgs asks for the evacuated data centres.
+type EvacuatedArgs struct{}
+
+// EvacuatedReply carries the evacuated data centres; no revision if they are not known.
+type EvacuatedReply struct {
+	Set evacuation.Set
+}
+
 // AcceptArgs hands a job to the home to be stored.
 type AcceptArgs struct {
 	Job work.Job
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -25,6 +25,7 @@
 	running      tally.Gauge
 	homeChanges  tally.Counter // changes of the home
 	jobsHomeLost tally.Counter // jobs whose home was lost
+	evacuated    tally.Gauge   // evacuated data centres
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -35,6 +36,7 @@
 		latency: s.Histogram("answer_seconds", latencyBuckets), firstStart: s.Histogram("first_start_seconds", latencyBuckets),
 		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"),
 		homeChanges: s.Counter("home_changes"), jobsHomeLost: s.Counter("jobs_home_lost"),
+		evacuated: s.Gauge("evacuated_data_centres"),
 	}
 }
 
@@ -61,6 +63,7 @@
 	pollsFailed tally.Counter   // polls without an answer
 	listsCut    tally.Counter   // polls whose list of ends was cut off
 	orphaned    tally.Counter   // runs stopped because their home was out of contact
+	evacuated   tally.Gauge     // evacuated data centres
 	startTime   tally.Histogram // answer time of starts
 	stopTime    tally.Histogram // from the first request of a stop to the end of the run
 }
@@ -71,6 +74,7 @@
 	return &agentMetrics{
 		all: all, started: s.Counter("starts_taken"), refused: s.Counter("starts_refused"),
 		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), orphaned: s.Counter("runs_orphaned"),
+		evacuated: s.Gauge("evacuated_data_centres"),
 		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
 	}
 }
