--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -62,6 +62,8 @@
 	goroutines sync.WaitGroup
 	cellSize   int  // number of agents in a cell; the default if zero
 	lateJobs   bool // whether a tenth of the load are late jobs
+	// evacuateTime is that of the settings of all processes.
+	evacuateTime time.Duration
 
 	mu            sync.Mutex // guards what follows
 	entries       [fleetEntries]*daemon.Entry
@@ -72,6 +74,8 @@
 	outOfRotation [fleetEntries]bool   // entries that the load balancer does not use
 	unanswered    int                  // requests without an answer
 	brokenConns   int                  // unanswered requests whose connection was accepted and then closed
+	// evacuationCalls holds the number of calls of the store about evacuations, by caller.
+	evacuationCalls map[string]int
 }
 
 // runWithFleet runs f in a bubble on a fleet whose members have found each other,
@@ -80,8 +84,13 @@
 
 // runWithCells is runWithFleet with cells of a given number of agents.
 func runWithCells(t *testing.T, cellSize int, f func(t *testing.T, s *fleet)) {
+	runWith(t, cellSize, 0, f)
+}
+
+// runWith is runWithCells on a platform that evacuates data centres; see platform.Node.
+func runWith(t *testing.T, cellSize int, evacuateTime time.Duration, f func(t *testing.T, s *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newFleet(t, cellSize)
+		s := newFleet(t, cellSize, evacuateTime)
 		time.Sleep(2 * time.Second)
 		f(t, s)
 		s.checkInvariants()
@@ -89,16 +98,16 @@
 	})
 }
 
-func newFleet(t *testing.T, cellSize int) *fleet {
-	s := &fleet{t: t, cellSize: cellSize, network: newNetwork(), store: standin.NewStore(store.NewMemory(clock.System{})), replies: make(map[string]standin.Reply), repliedAt: make(map[string]time.Time), mayHaveRun: make(map[string]bool)}
+func newFleet(t *testing.T, cellSize int, evacuateTime time.Duration) *fleet {
+	s := &fleet{t: t, cellSize: cellSize, evacuateTime: evacuateTime, network: newNetwork(), store: standin.NewStore(store.NewMemory(clock.System{})), replies: make(map[string]standin.Reply), repliedAt: make(map[string]time.Time), mayHaveRun: make(map[string]bool), evacuationCalls: make(map[string]int)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	if err := s.store.PutConfig(1, pingQueue, longQueue); err != nil {
 		t.Fatal(err)
 	}
-	s.serve("store", s.store.Handler())
+	s.serve("store", s.countEvacuationCalls(s.store.Handler()))
 	for i := range s.workers {
 		s.workers[i] = standin.NewWorker(standin.WorkerConfig{
-			ID: fmt.Sprint("worker", i), Service: service, Labels: []string{"a"}, CPU: fleetTasks * taskCPU, Memory: 1024, Work: taskRunTime,
+			ID: fmt.Sprint("worker", i), Service: service, DataCentre: fleetDataCentre(i), Labels: []string{"a"}, CPU: fleetTasks * taskCPU, Memory: 1024, Work: taskRunTime,
 		})
 		s.serve(fmt.Sprint("w", i), s.workers[i].Handler())
 		s.startAgent(i)
@@ -165,7 +174,7 @@
 func (s *fleet) node(name string) platform.Node {
 	return platform.Node{
 		Name: name, IP: name, Service: service, Internal: name, Metrics: name + "/metrics", Store: "store", Cores: 0.4,
-		Entries: []string{"e0", "e1"}, GracePeriod: 6 * time.Second,
+		Entries: []string{"e0", "e1"}, GracePeriod: 6 * time.Second, EvacuateTime: s.evacuateTime,
 	}
 }
 
