--- a/diagnosis/cause.go
+++ b/diagnosis/cause.go
@@ -15,6 +15,7 @@
 	WorkerFailing Cause = "failing worker"
 	WorkerSlow    Cause = "slow worker"
 	NoWorkers     Cause = "no workers"
+	Evacuated     Cause = "data centre evacuated"
 	Rejected      Cause = "rejected for the load"
 	WaitedForRoom Cause = "waited for room"
 	LongRun       Cause = "longer than estimated"
@@ -22,7 +23,7 @@
 )
 
 // causes lists the causes in the order of the table.
-var causes = []Cause{EntryLost, HomeLost, StoreAway, CallerGone, WorkerLost, WorkerFailing, WorkerSlow, NoWorkers, Rejected, WaitedForRoom, LongRun, Unexplained}
+var causes = []Cause{EntryLost, HomeLost, StoreAway, CallerGone, WorkerLost, WorkerFailing, WorkerSlow, NoWorkers, Evacuated, Rejected, WaitedForRoom, LongRun, Unexplained}
 
 // outcome is how a job ended for its caller.
 type outcome int
@@ -82,9 +83,13 @@
 		return StoreAway
 	case shows(reason("answered", "caller")):
 		return CallerGone
+	case shows(reason("answered", "evacuated")):
+		return Evacuated
 	case shows(reason("runEnded", "lapsed")):
 		return WorkerLost
-	case shows(reason("runEnded", "failed")), shows(reason("runEnded", "refused")):
+	case shows(reason("runEnded", "failed")), shows(func(l *line) bool {
+		return l.Message == "runEnded" && strings.Contains(l.Reason, "refused") && !strings.Contains(l.Reason, "evacuated")
+	}):
 		return WorkerFailing
 	case shows(message("runGivenUp")), shows(message("runMoved")):
 		return WorkerSlow
--- a/diagnosis/diagnosis_test.go
+++ b/diagnosis/diagnosis_test.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// TestEvacuationIsACause guards against rejections that seem to come from the load, and
+// workers that seem to fail, while data centres are evacuated.
+func TestEvacuationIsACause(t *testing.T) {
+	const lines = `{"job":"a","state":"rejected","tookMs":1,"why":"all workers that could run it are in evacuated data centres","time":"2026-01-01T00:00:02Z","message":"answered"}
+{"job":"b","run":"b.0.0.0#1","why":"refused evacuated","time":"2026-01-01T00:00:02Z","message":"runEnded"}
+{"job":"b","objectiveMs":200,"lastWaitMs":100,"lastRunMs":150,"lastExpectedMs":140,"time":"2026-01-01T00:00:02Z","message":"jobEnded"}
+{"job":"b","state":"completed","tookMs":250,"time":"2026-01-01T00:00:02Z","message":"answered"}
+`
+	l := new(diagnosis.Logs)
+	if err := l.Read("entry.log", strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := l.WriteTable(&out); err != nil {
+		t.Fatal(err)
+	}
+	got := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{"data centre evacuated 0 1 0 a", "waited for room 1 0 0 b"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+}
+
 func TestLinesOfAJobAreInOrder(t *testing.T) {
 	var out strings.Builder
 	l := readLogs(t)
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -103,6 +103,13 @@
 		}
 		return cell, len(cell)
 	}
+	agents := e.dealtAgents()
+	return roster.Cell(agents, homes, e.node.Internal), len(agents)
+}
+
+// dealtAgents returns the agents that are divided among the cells. Those of evacuated workers
+// are kinds of their own, so that every cell gets its share of the others. The caller holds mu.
+func (e *Entry) dealtAgents() []roster.Agent {
 	agents := make([]roster.Agent, 0, len(e.agents))
 	evacuated := e.evacuations.set()
 	for a, c := range e.agents {
@@ -112,11 +119,10 @@
 		}
 		agents = append(agents, roster.Agent{Address: a, Kind: kind})
 	}
-	return roster.Cell(agents, homes, e.node.Internal), len(agents)
+	return agents
 }
 
-// evacuatedKind is added to the kind of evacuated workers, so that every cell gets its share
-// of the others.
+// evacuatedKind is added to the kind of evacuated workers.
 const evacuatedKind = "/evacuated"
 
 // updateCells sets into how many cells this entry would divide the site. A site that
--- a/site/entry_evacuation.go
+++ b/site/entry_evacuation.go
@@ -14,7 +14,7 @@
 		return
 	}
 	e.evacuations.releaseLater()
-	go e.evacuations.watchDuty(e.stop, configWatchTimeout, configRetryInterval, configRetryInterval, maxConfigRetryInterval)
+	go e.evacuations.watchDuty(e.stop, configWatchTimeout, homeEvacuationReadInterval, configRetryInterval, maxConfigRetryInterval)
 	go e.evacuationReadDuty()
 }
 
--- a/site/evacuations.go
+++ b/site/evacuations.go
@@ -46,7 +46,7 @@
 	invalidLogged bool            // a malformed set of another process was logged
 	replacedFrom  uint64          // revision that was logged as one that the store has not reached
 
-	lastRead time.Time // when the last read by watchDuty began; used by it alone
+	lastRead time.Time // when the last answered read by watchDuty began; used by it alone
 }
 
 // evacuationStore is what evacuations needs of platform.Store.
@@ -192,13 +192,17 @@
 	return v.update("store, watch", func() bool { return v.tracker.Apply(sentAt, from, to, changes) }), nil
 }
 
-// readAgain is read, at least minInterval after the last time.
+// readAgain is read, at least minInterval after the last one that was answered.
 func (v *evacuations) readAgain(ctx context.Context, minInterval time.Duration) error {
 	if !v.lastRead.IsZero() {
 		sleep(ctx, minInterval-v.now().Sub(v.lastRead))
 	}
-	v.lastRead = v.now()
-	return v.read(ctx)
+	startedAt := v.now()
+	err := v.read(ctx)
+	if err == nil {
+		v.lastRead = startedAt
+	}
+	return err
 }
 
 // maxLoggedKeys bounds the malformed keys that are remembered and logged.
