--- a/site/agent.go
+++ b/site/agent.go
@@ -337,6 +337,7 @@
 		a.executeOrders()
 		a.mu.Unlock()
 		a.metrics.orphaned.Inc(int64(len(stopped)))
+		a.metrics.workerConns.Update(float64(a.worker.Opened()))
 		for _, r := range stopped {
 			a.runLog.Warn().Str("run", r.String()).Msg("run stopped: its home is out of contact")
 		}
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -60,6 +60,7 @@
 	unanswered  tally.Counter   // starts without an answer
 	pollsFailed tally.Counter   // polls without an answer
 	listsCut    tally.Counter   // polls whose list of ends was cut off
+	workerConns tally.Gauge     // connections to the worker that were opened so far
 	orphaned    tally.Counter   // runs stopped because their home was out of contact
 	startTime   tally.Histogram // answer time of starts
 	stopTime    tally.Histogram // from the first request of a stop to the end of the run
@@ -70,7 +71,7 @@
 	s := all.Scope()
 	return &agentMetrics{
 		all: all, started: s.Counter("starts_taken"), refused: s.Counter("starts_refused"),
-		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), orphaned: s.Counter("runs_orphaned"),
+		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), workerConns: s.Gauge("worker_connections_opened"), orphaned: s.Counter("runs_orphaned"),
 		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
 	}
 }
