Eject workers whose runs fail, on the evidence of all their runs

Seen: workers that fail all runs for 6 s while their heartbeats are good, that restart every second, or that hang cost jobs both of their attempts. And when many jobs come that can't be done anywhere, healthy workers are left alone.

Cause: two consecutive failed or stalled runs of any tasks kept a worker without tasks for 1.5 s, then it got as many as it had room for. Nothing bounded how many workers that were at once, a run that had started before the worker failed reset the count, and a task that failed everywhere counted against each worker that it met first.

Change: package ejection decides, without clocks or I/O. The score of a worker is a CUSUM test on the ends of its runs against the share of runs of their queue that fail on healthy workers. Runs that started before the first failure prove nothing for it. A task that has failed on two workers, of which one has done a run since, is at fault itself, and what its job said is taken back. Workers are ejected while the others hold half of the capacity and carry the load. They get one probe at a time, at intervals from 0.5 to 2 s; a probe that is done readmits them on probation. Two restarts in 5 s eject a worker until it has stayed up for 1.5 s. A job of which a run has failed gets workers with a good end in the last 2 s, where there are any. Rejection doesn't count ejected workers as capacity.

TestWorkerWithConsecutiveFailuresIsQuarantined asked that a worker with eight of nine slots is left alone, which the bound forbids. It is replaced by a test with two equal workers that also checks where the next tasks go.

--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -78,6 +78,17 @@
 		time.Sleep(3 * time.Second)
 		s.workers[1].SetFaults(standin.WorkerFaults{})
 	}},
+	{"worker fails all runs", 0.99, func(s *fleet) {
+		s.workers[1].SetFaults(standin.WorkerFaults{Failing: true})
+		time.Sleep(3 * time.Second)
+		s.workers[1].SetFaults(standin.WorkerFaults{})
+	}},
+	{"worker restarts every second", 0.85, func(s *fleet) {
+		for range 4 {
+			s.workers[1].Crash()
+			time.Sleep(time.Second)
+		}
+	}},
 	{"orders late", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(3 * time.Second) }},
 	{"orders never carried out", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(0) }},
 	{"stops late", 0.85, func(s *fleet) { s.delayStops(3*time.Second, 2500*time.Millisecond) }},
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -62,17 +62,25 @@
 
 func (c *Core) serviceCapacity(now time.Time, service string) *serviceCapacity {
 	capacity := &serviceCapacity{minSlowness: math.Inf(1)}
+	ejected := 0.0
 	for _, name := range c.agentNames {
 		t := c.targets[name]
 		if t.Service != service || !c.isUsable(now, t) {
 			continue
 		}
-		capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		if c.ejection.Ejected(name) {
+			ejected += float64(t.Capacity.CPU) / t.slowness()
+		} else {
+			capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		}
 		capacity.minSlowness = min(capacity.minSlowness, t.slowness())
 		capacity.maxCapacity.CPU = max(capacity.maxCapacity.CPU, t.Capacity.CPU)
 		capacity.maxCapacity.Memory = max(capacity.maxCapacity.Memory, t.Capacity.Memory)
 		capacity.maxCapacity.GPUs = max(capacity.maxCapacity.GPUs, t.Capacity.GPUs)
 	}
+	if capacity.speed == 0 {
+		capacity.speed = ejected // the others are gone; see probeTargets
+	}
 	return capacity
 }
 
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -40,6 +40,7 @@
 import (
 	"time"
 
+	"masticbay/ejection"
 	"masticbay/work"
 	"masticbay/worker"
 )
@@ -81,6 +82,7 @@
 	sealing        []*job           // are not placed before agents have sealed them
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
+	ejection       *ejection.Tracker
 	decisions      Decisions
 }
 
@@ -88,7 +90,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias),
+		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(),
 	}
 }
 
@@ -268,6 +270,7 @@
 	c.abandonOverdue(now)
 	c.expireSlowdowns(now)
 	c.unblockTimed(now)
+	c.reviewWorkers(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
 	c.placeWaiting(now)
--- /dev/null
+++ b/schedule/ejection.go
@@ -0,0 +1,125 @@
+package schedule
+
+import (
+	"time"
+
+	"masticbay/ejection"
+	"masticbay/work"
+)
+
+// This file connects the placement to package ejection: the ends of runs are its evidence,
+// and a worker that is ejected gets one run at a time as a probe.
+
+// Ejected returns the number of workers that are ejected.
+func (c *Core) Ejected() int { return c.ejection.Count() }
+
+// recordDone records a run that was done as evidence for its worker.
+func (c *Core) recordDone(now time.Time, t *target, j *job, r work.Run) {
+	if c.ejection.Done(now, t.agent, j.Queue.Name, r, j.task(r).startedAt) {
+		c.addNote(Note{Job: j.ID, Agent: t.agent, Run: r, Kind: "workerReadmitted", Reason: "its probe was done"})
+	}
+}
+
+// recordFailure records a run that failed or made no progress.
+func (c *Core) recordFailure(now time.Time, t *target, j *job, r work.Run) {
+	j.failures++
+	c.ejection.Failed(now, t.agent, j.Queue.Name, r, j.task(r).startedAt)
+	c.reviewWorkers(now)
+}
+
+// recordUnproven records a run that neither was done nor failed.
+func (c *Core) recordUnproven(now time.Time, t *target, e *Event) {
+	if e.End == work.Done || e.End == work.Failed {
+		return
+	}
+	c.ejection.Unproven(now, t.agent, e.Run)
+	if e.End == work.Lapsed && e.Reason == lapsedSilent {
+		c.ejection.Lost(now, t.agent)
+	}
+}
+
+// lapsedSilent is the reason with which agents report runs that were lost since the worker
+// did not answer.
+const lapsedSilent = "worker does not answer"
+
+// recordIncarnation records that another incarnation of a worker, or another worker, runs.
+func (c *Core) recordIncarnation(now time.Time, t *target, reported *work.Target) {
+	switch {
+	case t.ID != "" && reported.ID != t.ID:
+		c.ejection.Forget(t.agent)
+	case t.Born != 0 && reported.Born > t.Born:
+		c.ejection.Restarted(now, t.agent)
+	}
+}
+
+// reviewWorkers ejects workers on the evidence of their runs.
+func (c *Core) reviewWorkers(now time.Time) {
+	if !c.ejection.HasSuspects(now) {
+		return
+	}
+	var services []string
+	loads := make(map[string][]ejection.Load)
+	for _, name := range c.agentNames {
+		t := c.targets[name]
+		if !c.isUsable(now, t) {
+			continue
+		}
+		if _, ok := loads[t.Service]; !ok {
+			services = append(services, t.Service)
+		}
+		loads[t.Service] = append(loads[t.Service], ejection.Load{Worker: name, Capacity: float64(t.Capacity.CPU), Used: float64(t.used.Add(t.usedByOthers).CPU)})
+	}
+	for _, service := range services {
+		for _, change := range c.ejection.Review(now, loads[service]) {
+			kind := "workerEjected"
+			if !change.Ejected {
+				kind = "ejectionPutOff"
+			}
+			c.addNote(Note{Agent: change.Worker, Kind: kind, Reason: change.Reason, Values: map[string]float64{
+				"score": change.Score, "restCpu": change.Rest, "loadCpu": change.Load, "workers": float64(len(loads[service])), "ejected": float64(c.ejection.Count()),
+			}})
+		}
+	}
+}
+
+// probeTargets returns the ejected workers that may get a run now.
+func (c *Core) probeTargets(now time.Time) []*target {
+	if c.ejection.Count() == 0 {
+		return nil
+	}
+	var probes []*target
+	for _, name := range c.agentNames {
+		if t := c.targets[name]; c.ejection.Ejected(name) && c.isUsable(now, t) && now.After(t.backoffUntil) {
+			probes = append(probes, t)
+		}
+	}
+	return probes
+}
+
+// isTrustedWith reports whether the evidence about a worker lets it run tasks of a job. An
+// ejected worker gets probes, which are tasks that have further attempts, and tasks that no
+// other worker can run. A job of which a run has failed gets workers whose runs were done
+// lately, if there are any.
+func (c *Core) isTrustedWith(now time.Time, j *job, slot int, t *target) bool {
+	step := j.Step(slot)
+	if c.ejection.Ejected(t.agent) {
+		isProbe := c.ejection.ProbeDue(now, t.agent) && j.failures == 0 && j.Queue.MaxAttempts > 1 && !step.Gang && !j.Stored
+		return isProbe || !c.hasOther(j, step, func(o *target) bool { return !c.ejection.Ejected(o.agent) && c.isUsable(now, o) })
+	}
+	if j.failures == 0 || c.ejection.Trusted(now, t.agent) {
+		return true
+	}
+	return !c.hasOther(j, step, func(o *target) bool {
+		return c.ejection.Trusted(now, o.agent) && c.isUsable(now, o) && !j.avoid[o.agent]
+	})
+}
+
+// hasOther reports whether a worker that matches could run tasks of a step.
+func (c *Core) hasOther(j *job, step *work.Step, match func(*target) bool) bool {
+	for _, name := range c.agentNames {
+		if t := c.targets[name]; match(t) && c.suits(j, step, t) {
+			return true
+		}
+	}
+	return false
+}
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -7,13 +7,11 @@
 	"masticbay/worker"
 )
 
-// A worker is quarantined after consecutive failures; after refused starts it gets
-// no tasks for a backoff time.
+// A worker gets no tasks for a backoff time after refused starts. Package ejection decides
+// what follows from failed runs.
 const (
-	quarantineFailures = 2 // consecutive failed or stalled runs
-	quarantineTime     = 1500 * time.Millisecond
-	unwellBackoff      = 200 * time.Millisecond // a worker that refuses all starts
-	noRoomBackoff      = 15 * time.Millisecond  // a worker that uses resources in a way that the home does not know
+	unwellBackoff = 200 * time.Millisecond // a worker that refuses all starts
+	noRoomBackoff = 15 * time.Millisecond  // a worker that uses resources in a way that the home does not know
 )
 
 // applyEvent records the end of a run and decides what follows from it.
@@ -57,8 +55,10 @@
 		// The end of another task of its gang stands for this one.
 	case j.Lasts:
 		c.backOff(now, t, e)
-		c.restartTask(now, t, j, slot, index, e.End)
+		c.recordUnproven(now, t, &e)
+		c.restartTask(now, t, j, slot, index, &e)
 	case e.End == work.Done:
+		c.recordDone(now, t, j, e.Run)
 		t.normalEnds.add(now, e.Took, tk.expected)
 		c.recordRunTime(t, j, slot, e.Took)
 		c.finishTask(now, j, slot, index)
@@ -69,6 +69,7 @@
 		c.closeSealed(now, j)
 	default:
 		c.backOff(now, t, e)
+		c.recordUnproven(now, t, &e)
 		c.requeue(j, slot, index)
 	}
 	c.releaseJob(j)
@@ -129,10 +130,7 @@
 func (c *Core) failTask(now time.Time, t *target, j *job, slot, index int) {
 	tk := &j.tasks[slot][index]
 	tk.failures++
-	if tk.failures == 1 {
-		// A task that has failed on another worker says little about this one.
-		c.countFailure(now, t)
-	}
+	c.recordFailure(now, t, j, j.currentRun(slot, index))
 	j.avoidAgent(t.agent)
 	if tk.failures >= j.Queue.MaxAttempts {
 		c.close(j, work.Outcome{State: work.JobFailed, Reason: j.currentRun(slot, index).Task.String() + " failed"})
@@ -142,16 +140,6 @@
 	c.requeue(j, slot, index)
 }
 
-// countFailure counts a failed or stalled run against a worker, which may be
-// quarantined for it.
-func (c *Core) countFailure(now time.Time, t *target) {
-	t.consecutiveFailures++
-	if t.consecutiveFailures >= quarantineFailures && now.After(t.backoffUntil) {
-		t.backoffUntil = now.Add(quarantineTime)
-		c.addNote(Note{Agent: t.agent, Kind: "quarantine", Reason: "runs failed or stalled one after the other"})
-	}
-}
-
 func (j *job) avoidAgent(agent string) {
 	if j.avoid == nil {
 		j.avoid = make(map[string]bool)
--- a/schedule/end_test.go
+++ b/schedule/end_test.go
@@ -80,26 +80,24 @@
 	}
 }
 
-func TestWorkerWithConsecutiveFailuresIsQuarantined(t *testing.T) {
+// TestWorkerWithConsecutiveFailuresIsEjected guards against a worker that fails all it starts
+// and gets further tasks, since it has the most free capacity.
+func TestWorkerWithConsecutiveFailuresIsEjected(t *testing.T) {
 	h := newHarness(t)
-	h.addAgent("a", 1)
+	h.addAgent("a", 8)
 	h.addAgent("b", 8)
 	for i := range 2 {
-		j := job("j"+strconv.Itoa(i), 0, 1, 60*time.Millisecond)
-		j.Steps[0].Label = ""
-		h.c.Submit(h.now, j, 0)
-		h.collect()
-		for _, a := range []string{"a", "b"} {
-			for _, r := range h.starts[a] {
-				if r.Task.Job == j.ID && r.Number == 1 {
-					h.endRun(a, r, work.Failed, time.Millisecond)
-				}
-			}
+		h.submit(job("j"+strconv.Itoa(i), 0, 1, 60*time.Millisecond))
+		r := h.starts["a"][len(h.starts["a"])-1]
+		if r.Task.Job != "j"+strconv.Itoa(i) || r.Number != 1 {
+			t.Fatalf("last start at a is %v", r)
 		}
+		h.endRun("a", r, work.Failed, time.Millisecond)
 	}
-	before := len(h.starts["b"])
-	h.submit(job("after", 0, 1, 60*time.Millisecond))
-	if len(h.starts["b"]) != before {
-		t.Error("a worker with consecutive failures got another run")
+	h.wantStarts("b", 2)
+	for i := range 4 {
+		h.submit(job("after"+strconv.Itoa(i), 0, 1, 60*time.Millisecond))
 	}
+	h.wantStarts("a", 2)
+	h.wantStarts("b", 6)
 }
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -27,6 +27,7 @@
 	avoid          map[string]bool // agents where a run failed or stalled
 	firstPlacedAt  time.Time
 	requeues       int      // runs that did not end as done
+	failures       int      // runs that failed or made no progress
 	lastRun        runTimes // the run that ended last
 }
 
@@ -91,6 +92,9 @@
 	return work.Run{Task: j.Ref(slot, index), Number: j.tasks[slot][index].runNumber}
 }
 
+// task returns the task of a run.
+func (j *job) task(r work.Run) *task { return &j.tasks[j.Slot(r.Task)][r.Task.Index] }
+
 // nextRun returns the number of the next run of a task.
 func (j *job) nextRun(slot, index int) int {
 	return max(j.tasks[slot][index].runNumber, j.runNumberBase) + 1
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -48,7 +48,7 @@
 
 // placeWaiting places waiting tasks on workers that have free capacity.
 func (c *Core) placeWaiting(now time.Time) {
-	open := c.openTargets(now)
+	open := append(c.openTargets(now), c.probeTargets(now)...)
 	if len(open) == 0 {
 		return
 	}
@@ -75,7 +75,7 @@
 	var open []*target
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if c.isUsable(now, t) && now.After(t.backoffUntil) {
+		if c.isUsable(now, t) && now.After(t.backoffUntil) && !c.ejection.Ejected(name) {
 			open = append(open, t)
 		}
 	}
@@ -164,7 +164,7 @@
 	var bestTime, fastestTime time.Duration
 	worthWaiting := false
 	for _, t := range open {
-		if !c.isEligible(j, slot, t) {
+		if !c.isEligible(j, slot, t) || !c.isTrustedWith(now, j, slot, t) {
 			continue
 		}
 		expected := time.Duration(float64(baseTime) * t.slowness() * c.distanceFactor(step, t))
@@ -252,7 +252,7 @@
 func (c *Core) hasAlternative(j *job, step *work.Step, excluded *target) bool {
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if t != excluded && t.ready && !t.Draining && !j.avoid[name] && c.suits(j, step, t) && (!j.Lasts || t.free().Holds(step.Room)) {
+		if t != excluded && t.ready && !t.Draining && !c.ejection.Ejected(name) && !j.avoid[name] && c.suits(j, step, t) && (!j.Lasts || t.free().Holds(step.Room)) {
 			return true
 		}
 	}
@@ -290,6 +290,7 @@
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
 	t.runs[run.Task] = run
+	c.ejection.Probing(startedAt, t.agent, run)
 	t.used = t.used.Add(step.Room)
 	return tk
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -71,7 +71,8 @@
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
-		t.logSlowness, t.consecutiveFailures = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}, 0
+		t.logSlowness = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}
+		c.recordIncarnation(now, t, &r.Target)
 		t.updateSlowness()
 	}
 	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || now.Sub(t.lastContact) > c.cfg.SuspectAfter
@@ -135,6 +136,7 @@
 		expired := now.Sub(t.lastContact) > agentRetention && len(t.runs) == 0
 		if expired {
 			delete(c.targets, name)
+			c.ejection.Forget(name)
 		}
 		return expired
 	})
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -64,7 +64,6 @@
 // recordRunTime updates the slowness of a worker and the bias of a queue by the run
 // time of a task that was done. A temporary slowdown is left out of the slowness.
 func (c *Core) recordRunTime(t *target, j *job, slot int, took time.Duration) {
-	t.consecutiveFailures = 0
 	est := j.Step(slot).Estimate
 	if est <= 0 || took <= 0 {
 		return
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -41,7 +41,7 @@
 	c.addNote(Note{Job: j.ID, Agent: t.agent, Run: r, Kind: "runGivenUp", Reason: reason,
 		Values: map[string]float64{"ranMs": ms(now.Sub(tk.startedAt)), "expectedMs": ms(tk.expected)}})
 	j.avoidAgent(t.agent)
-	c.countFailure(now, t)
+	c.recordFailure(now, t, j, r)
 	c.stopTask(j, j.Slot(r.Task), r.Task.Index)
 }
 
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -11,25 +11,24 @@
 // target is a worker and the agent beside it.
 type target struct {
 	work.Target
-	agent               string
-	life                string // incarnation of the agent
-	lastContact         time.Time
-	ready               bool      // the agent takes starts
-	excluded            bool      // it belongs to another home
-	used                work.Room // by runs that this home placed
-	usedByOthers        work.Room // by runs of other entries, as reported
-	runs                map[work.TaskRef]work.Run
-	lastSeq             uint64     // of the last event received
-	baseSlowness        float64    // computed from logSlowness and kindSlowness
-	kindSlowness        float64    // mean of logSlowness over the workers of its kind
-	logSlowness         movingMean // mean log of run time over expected time on a worker of slowness 1
-	slowdown            float64    // temporary factor on baseSlowness; 1 if the worker is not slow
-	lastSlow            time.Time  // when slowdown was last observed
-	normalEnds          normalEnds // recent ends of runs that were not slow
-	consecutiveFailures int        // runs that failed or stalled
-	backoffUntil        time.Time  // no task is placed before
-	confirmedEpoch      uint64     // of the tenure that the agent has confirmed; 0 for none
-	uncommitted         []uint64   // sequence numbers of events that the agent must not discard yet
+	agent          string
+	life           string // incarnation of the agent
+	lastContact    time.Time
+	ready          bool      // the agent takes starts
+	excluded       bool      // it belongs to another home
+	used           work.Room // by runs that this home placed
+	usedByOthers   work.Room // by runs of other entries, as reported
+	runs           map[work.TaskRef]work.Run
+	lastSeq        uint64     // of the last event received
+	baseSlowness   float64    // computed from logSlowness and kindSlowness
+	kindSlowness   float64    // mean of logSlowness over the workers of its kind
+	logSlowness    movingMean // mean log of run time over expected time on a worker of slowness 1
+	slowdown       float64    // temporary factor on baseSlowness; 1 if the worker is not slow
+	lastSlow       time.Time  // when slowdown was last observed
+	normalEnds     normalEnds // recent ends of runs that were not slow
+	backoffUntil   time.Time  // no task is placed before
+	confirmedEpoch uint64     // of the tenure that the agent has confirmed; 0 for none
+	uncommitted    []uint64   // sequence numbers of events that the agent must not discard yet
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.usedByOthers) }
--- a/schedule/timed.go
+++ b/schedule/timed.go
@@ -32,9 +32,9 @@
 
 // restartTask requeues a task of a lasting job. A worker where it failed gets it
 // again only if there is no other.
-func (c *Core) restartTask(now time.Time, t *target, j *job, slot, index int, end work.End) {
-	if end == work.Failed {
-		c.countFailure(now, t)
+func (c *Core) restartTask(now time.Time, t *target, j *job, slot, index int, e *Event) {
+	if e.End == work.Failed {
+		c.recordFailure(now, t, j, e.Run)
 		j.avoidAgent(t.agent)
 	}
 	if !j.answered {
--- a/site/home.go
+++ b/site/home.go
@@ -285,6 +285,7 @@
 	waiting, running := h.core.Load()
 	h.e.metrics.waiting.Update(float64(waiting))
 	h.e.metrics.running.Update(float64(running))
+	h.e.metrics.ejected.Update(float64(h.core.Ejected()))
 	if now.Sub(h.lastLinkUpdate) >= linkUpdateInterval || isHome != h.wasHome {
 		h.lastLinkUpdate, h.wasHome = now, isHome
 		h.updateLinks(now, isHome, running)
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -23,6 +23,7 @@
 	firstStart   tally.Histogram // from the receipt of a job to its first placement, at the home
 	waiting      tally.Gauge     // tasks that wait, at the home
 	running      tally.Gauge
+	ejected      tally.Gauge   // workers that are ejected, at the home
 	homeChanges  tally.Counter // changes of the home
 	jobsHomeLost tally.Counter // jobs whose home was lost
 }
@@ -33,7 +34,7 @@
 	return &entryMetrics{
 		all: all, scope: s,
 		latency: s.Histogram("answer_seconds", latencyBuckets), firstStart: s.Histogram("first_start_seconds", latencyBuckets),
-		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"),
+		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"), ejected: s.Gauge("home_workers_ejected"),
 		homeChanges: s.Counter("home_changes"), jobsHomeLost: s.Counter("jobs_home_lost"),
 	}
 }
