Move runs off leaving workers and notice lost runs as early as proven

Causes: the agent ignored the time that is left of a draining worker, so runs that could not end there were started again only after the loss. A worker that had crashed got starts until its polls had timed out (250 ms), and each of these starts counted as possibly carried out, which no poll could decide any more, so that its task was never placed again. A run that a worker had accepted and did not list, or that was left when it had announced its leave, was waited for.

Change: - The heartbeat's drainRemainingMs reaches the home with each report. A run that is not expected to end in that time is stopped if it ends in time on a worker with room, the stop included. Nothing is started on a draining worker still: the platform counts each start there as a fault. - A refused connection ends the starts at once; runs still lapse with their leases only. A start that got no connection is reported as not started. - A started run that three consecutive polls don't list, or that is not listed after the worker's leave call, is lost once a list under a higher token does not show it; such a list is final, as after a start without an answer. Package ejection counts a run that was accepted and not listed as failed. - A reply to a start that shows another incarnation leads to a poll at once.

--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -119,6 +119,15 @@
 		s.startEntry(h)
 		s.setInRotation(h, true)
 	}},
+	{"worker removed after notice", 0.99, func(s *fleet) {
+		s.workers[1].DrainFor(1600 * time.Millisecond)
+		time.Sleep(1600 * time.Millisecond)
+		s.network.refuse("a1", "w1", true)
+	}},
+	{"worker removed without notice", 0.85, func(s *fleet) {
+		s.workers[1].DrainFor(0)
+		s.network.refuse("a1", "w1", true)
+	}},
 	{"worker drains", 1, func(s *fleet) { s.workers[1].Drain() }},
 }
 
--- a/schedule/ejection.go
+++ b/schedule/ejection.go
@@ -5,6 +5,7 @@
 
 	"masticbay/ejection"
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // This file connects the placement to package ejection: the ends of runs are its evidence,
@@ -28,14 +29,19 @@
 }
 
 // recordUnproven records a run that neither was done nor failed.
-func (c *Core) recordUnproven(now time.Time, t *target, e *Event) {
+func (c *Core) recordUnproven(now time.Time, t *target, j *job, e *Event) {
 	if e.End == work.Done || e.End == work.Failed {
 		return
 	}
-	c.ejection.Unproven(now, t.agent, e.Run)
-	if e.End == work.Lapsed && e.Reason == lapsedSilent {
+	switch {
+	case e.End == work.Lapsed && e.Reason == worker.Unlisted:
+		c.recordFailure(now, t, j, e.Run) // the worker has answered falsely
+		j.avoidAgent(t.agent)
+		return
+	case e.End == work.Lapsed && e.Reason == lapsedSilent:
 		c.ejection.Lost(now, t.agent)
 	}
+	c.ejection.Unproven(now, t.agent, e.Run)
 }
 
 // lapsedSilent is the reason with which agents report runs that were lost since the worker
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -55,7 +55,7 @@
 		// The end of another task of its gang stands for this one.
 	case j.Lasts:
 		c.backOff(now, t, e)
-		c.recordUnproven(now, t, &e)
+		c.recordUnproven(now, t, j, &e)
 		c.restartTask(now, t, j, slot, index, &e)
 	case e.End == work.Done:
 		c.recordDone(now, t, j, e.Run)
@@ -69,7 +69,7 @@
 		c.closeSealed(now, j)
 	default:
 		c.backOff(now, t, e)
-		c.recordUnproven(now, t, &e)
+		c.recordUnproven(now, t, j, &e)
 		c.requeue(j, slot, index)
 	}
 	c.releaseJob(j)
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -22,6 +22,9 @@
 	Epoch   uint64       // of the tenure that the agent obeys
 	Asked   bool         // Kept was requested and is complete
 	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
+	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set.
+	LeavesIn   time.Duration
+	KnowsLeave bool
 }
 
 // Event reports how a run ended.
@@ -86,6 +89,7 @@
 	}
 	c.orderSeals(agent)
 	c.stopLasting(t)
+	c.recordLeave(now, t, r)
 	c.takeStalled(now, t, r.Idle)
 	c.detectStraggler(now, t, r.Slow)
 	if changed || len(r.Events) > 0 {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -29,6 +29,7 @@
 	backoffUntil   time.Time  // no task is placed before
 	confirmedEpoch uint64     // of the tenure that the agent has confirmed; 0 for none
 	uncommitted    []uint64   // sequence numbers of events that the agent must not discard yet
+	leavesAt       time.Time  // least time when a draining worker is removed; zero if it is not known
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.usedByOthers) }
--- a/site/agent.go
+++ b/site/agent.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -166,7 +167,7 @@
 	if rep.Leaving {
 		if known && before.ID == rep.Target.ID {
 			a.guard.Leave()
-			a.log.Info().Str("worker", rep.Target.ID).Msg("worker leaves")
+			a.log.Info().Str("worker", rep.Target.ID).Int("runs", a.guard.Running()).Msg("worker leaves")
 		}
 	} else {
 		if a.guard.TakeHeartbeat(a.now(), rep.Target, rep.Clock) {
@@ -249,14 +250,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	runsBefore := a.guard.Running()
 	switch {
 	case err != nil:
 		a.metrics.pollsFailed.Inc(1)
-		a.guard.PollFailed(now)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.guard.PollRefused(now)
+		} else {
+			a.guard.PollFailed(now)
+		}
 		a.reportStopped()
 		if a.guard.OutOfContact() {
+			if !a.workerDown || a.guard.Running() != runsBefore {
+				a.signalEvents()
+			}
 			a.logWorkerContact(true, err)
-			a.signalEvents()
 		}
 		return false
 	case !ans.Accepted:
@@ -278,7 +286,6 @@
 		snapshot.Ended = append(snapshot.Ended, worker.Ended{Number: e.EndNumber, Run: e.Run, End: e.End, Checkpoint: e.Checkpoint})
 	}
 	a.logCutList(ans.EndsCut)
-	runsBefore := a.guard.Running()
 	before, _ := a.guard.Target()
 	a.guard.PollAnswered(now, snapshot)
 	if after, _ := a.guard.Target(); after.Born != before.Born || after.ID != before.ID {
@@ -333,8 +340,12 @@
 		case <-tick.C:
 		}
 		a.mu.Lock()
+		runsBefore := a.guard.Running()
 		stopped := a.guard.Tick(a.now())
 		a.executeOrders()
+		if a.guard.Running() != runsBefore {
+			a.signalEvents()
+		}
 		a.mu.Unlock()
 		a.metrics.orphaned.Inc(int64(len(stopped)))
 		a.metrics.workerConns.Update(float64(a.worker.Opened()))
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -107,5 +107,6 @@
 func (a *Agent) reportFor(home string, acked uint64) schedule.Report {
 	r := schedule.ReportOf(a.guard, home, acked)
 	r.Life, r.Ready = a.life, r.Ready && !a.leaving
+	r.LeavesIn, r.KnowsLeave = a.guard.LeavesIn(a.now())
 	return r
 }
--- a/site/agent_orders.go
+++ b/site/agent_orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/juju/errors"
+
 	"masticbay/platform"
 	"masticbay/telemetry"
 	"masticbay/worker"
@@ -56,6 +58,14 @@
 	a.metrics.startTime.RecordDuration(a.now().Sub(sent))
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if errors.Is(err, platform.ErrNotSent) {
+		a.metrics.refused.Inc(1)
+		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Msg("start not sent")
+		a.guard.Started(a.now(), o.Start.Run, worker.NotSent, false)
+		a.signalEvents()
+		go a.poll(0) // which shows whether the worker is there
+		return
+	}
 	if err != nil {
 		a.metrics.unanswered.Inc(1)
 		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
@@ -63,6 +73,9 @@
 		go a.poll(0) // with the higher fencing token
 		return
 	}
+	if t, _ := a.guard.Target(); ans.Born > t.Born {
+		go a.poll(0) // which shows what has ended with the earlier incarnation
+	}
 	reason := ""
 	if ans.Accepted {
 		a.metrics.started.Inc(1)
--- a/work/work.go
+++ b/work/work.go
@@ -250,4 +250,8 @@
 	Labels   []string
 	Capacity Room
 	Draining bool
+	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set. It
+	// is as of the heartbeat; see schedule.Report for the present one.
+	LeavesIn   time.Duration
+	KnowsLeave bool
 }
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -40,7 +40,10 @@
 
 // describe makes t the description of the worker.
 func (g *Guard) describe(now time.Time, t work.Target) {
-	g.target, g.hasTarget, g.leaving, g.describedAt = t, true, false, now
+	g.target, g.hasTarget, g.leaving, g.describedAt, g.leavesAt = t, true, false, now, time.Time{}
+	if t.KnowsLeave {
+		g.leavesAt = now.Add(t.LeavesIn)
+	}
 }
 
 // descriptionMaxAge is the time without a heartbeat under the worker's ID after which one
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -98,6 +98,7 @@
 			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token, Reason: stopUnknown})
 			continue
 		}
+		known.listed()
 		g.updateProgress(now, known, snapshot.Running[r])
 		if checkpoint := snapshot.Checkpoints[r]; checkpoint != "" {
 			known.checkpoint = checkpoint
@@ -116,6 +117,10 @@
 	}
 	for _, ref := range g.sortedTasks() {
 		known := g.runs[ref]
+		if _, listed := snapshot.Running[known.start.Run]; !listed && (known.phase == running || known.phase == stopping) {
+			g.checkUnlisted(now, known, snapshot.Token)
+			continue
+		}
 		if known.phase != unclear || known.token >= snapshot.Token {
 			continue
 		}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -94,6 +94,8 @@
 	slowProjection  time.Duration // shortest run time at its present speed, if far above the expected one; else 0
 	stalled         bool          // polls have shown no progress for too long
 	workerRestarted bool          // the worker has restarted since the run was ordered
+	unlisted        int           // consecutive polls that did not list the run, although it was started
+	fence           uint64        // a list without the run proves its end from this token on; 0 while none is awaited
 }
 
 // Guard decides what runs on one worker. NewGuard makes one.
@@ -104,6 +106,7 @@
 	announced        work.Target // as a heartbeat described another incarnation, which no poll has shown
 	describedAt      time.Time   // last heartbeat that described it
 	leaving          bool
+	leavesAt         time.Time // least time when a draining worker is removed; zero if it is not known
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
 	settled          bool      // the worker has no runs that this Guard did not order
@@ -166,9 +169,6 @@
 	}
 }
 
-// Leave records that the worker has announced its end.
-func (g *Guard) Leave() { g.leaving = true }
-
 // handleWorkerRestart handles a restart of the worker if born is that of a newer
 // incarnation. The runs of the earlier incarnation have ended. But the new one may
 // have carried out an order that was in transit, so each run is unclear until a
@@ -217,7 +217,7 @@
 // a poll with the present token may tell.
 func (g *Guard) NeedsPoll() bool {
 	for _, r := range g.runs {
-		if r.phase == unclear && r.token >= g.ackedToken {
+		if r.phase == unclear && r.token >= g.ackedToken || r.fence > g.ackedToken {
 			return true
 		}
 	}
