Let the first jobs after a restart wait for the workers' heartbeats

Seen: after a restart of all processes jobs were rejected with "no worker of the service is in contact", or for the work that waits.

Cause: an agent that starts does not know the capacity of its worker before the next heartbeat, up to a second later. The home rejected jobs at their objective, and counted a few early workers as the whole capacity 400 ms after the last agent had made contact. The other waits are not the cause: with heartbeats at once, the first job of 100 ms is answered 166 to 172 ms after the entries start, in time.

--- a/failure/fleet_config_test.go
+++ b/failure/fleet_config_test.go
@@ -170,6 +170,19 @@
 	}
 }
 
+// TestFirstJobsWaitForHeartbeats restarts everything half a second before the next heartbeats
+// of the workers, without which no agent knows its worker. It guards against jobs that are
+// rejected or lost until then, although they can end before their cutoff.
+func TestFirstJobsWaitForHeartbeats(t *testing.T) {
+	runWithFleet(t, func(_ *testing.T, s *fleet) {
+		time.Sleep(100 * time.Millisecond)
+		s.restartAll(400 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		s.load(time.Second, 0, 1, 2)
+		s.wantCompleted(1)
+	})
+}
+
 // TestEntriesThatStartTogetherAgreeOnOneHome starts all entries within a few
 // milliseconds. No two of them may act as home.
 func TestEntriesThatStartTogetherAgreeOnOneHome(t *testing.T) {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -34,7 +34,7 @@
 		}
 	}
 	delay := time.Duration(0)
-	if isNew && now.After(c.startupUntil) {
+	if isNew && !c.isStarting(now) {
 		delay = time.Duration(c.workAhead(j) / capacity.speed * float64(time.Millisecond))
 	}
 	if s := j.sealing; s != nil && (!s.Complete || s.Silent) {
@@ -120,7 +120,7 @@
 			capacity = c.serviceCapacity(now, j.Queue.Service)
 			capacities[j.Queue.Service] = capacity
 		}
-		if reason, retry := c.rejectReason(now, j, capacity, false); reason != "" && (reason != reasonNoWorkers || now.After(j.objective)) {
+		if reason, retry := c.rejectReason(now, j, capacity, false); reason != "" && (reason != reasonNoWorkers || now.After(j.objective) && !c.mayGetWorkers(now, j)) {
 			c.reject(now, j, reason, retry)
 			i--
 		}
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -48,15 +48,11 @@
 	}
 }
 
-// startupTime is the time after the first contact of a worker during which more
-// workers are expected. Until then no job is rejected for the work that waits before it.
-const startupTime = 400 * time.Millisecond
-
 // Report applies the report of an agent.
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
-		t = &target{agent: agent, life: r.Life, baseSlowness: 1, slowdown: 1, runs: make(map[work.TaskRef]work.Run)}
+		t = &target{agent: agent, life: r.Life, knownSince: now, baseSlowness: 1, slowdown: 1, runs: make(map[work.TaskRef]work.Run)}
 		c.startupUntil = now.Add(startupTime)
 		c.targets[agent] = t
 		c.agentNames = append(c.agentNames, agent)
@@ -69,7 +65,7 @@
 			return // runs of its previous incarnation may not have ended yet
 		}
 		c.lapseRuns(now, t, "agent started anew", true)
-		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted = r.Life, 0, 0, nil
+		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted, t.knownSince = r.Life, 0, 0, nil, now
 		c.requireSeals(agent)
 	}
 	if t.Born != r.Target.Born {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -30,6 +30,7 @@
 	confirmedEpoch uint64     // of the tenure that the agent has confirmed; 0 for none
 	uncommitted    []uint64   // sequence numbers of events that the agent must not discard yet
 	leavesAt       time.Time  // least time when a draining worker is removed; zero if it is not known
+	knownSince     time.Time  // first contact with this incarnation of the agent
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.usedByOthers) }
