Let the removed worker of the fleet tests be followed by another one

TestStoredJobsUnderFaults runs every fault of the fleet, and found that a stored task whose start was in flight when its worker vanished for good is never placed again while the agent lives: only a list of the worker under a higher token proves that the start was not carried out.

--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -127,6 +127,9 @@
 	{"worker removed without notice", 0.85, func(s *fleet) {
 		s.workers[1].DrainFor(0)
 		s.network.refuse("a1", "w1", true)
+		time.Sleep(4 * time.Second)
+		s.workers[1].Return()
+		s.network.refuse("a1", "w1", false)
 	}},
 	{"worker drains", 1, func(s *fleet) { s.workers[1].Drain() }},
 }
