--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -78,6 +78,17 @@
 		time.Sleep(3 * time.Second)
 		s.workers[1].SetFaults(standin.WorkerFaults{})
 	}},
+	{"worker fails all runs", 0.99, func(s *fleet) {
+		s.workers[1].SetFaults(standin.WorkerFaults{Failing: true})
+		time.Sleep(3 * time.Second)
+		s.workers[1].SetFaults(standin.WorkerFaults{})
+	}},
+	{"worker restarts every second", 0.85, func(s *fleet) {
+		for range 4 {
+			s.workers[1].Crash()
+			time.Sleep(time.Second)
+		}
+	}},
 	{"orders late", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(3 * time.Second) }},
 	{"orders never carried out", 0.85, func(s *fleet) { s.leaveOrdersUnanswered(0) }},
 	{"stops late", 0.85, func(s *fleet) { s.delayStops(3*time.Second, 2500*time.Millisecond) }},
@@ -108,6 +119,18 @@
 		s.startEntry(h)
 		s.setInRotation(h, true)
 	}},
+	{"worker removed after notice", 0.99, func(s *fleet) {
+		s.workers[1].DrainFor(1600 * time.Millisecond)
+		time.Sleep(1600 * time.Millisecond)
+		s.network.refuse("a1", "w1", true)
+	}},
+	{"worker removed without notice", 0.85, func(s *fleet) {
+		s.workers[1].DrainFor(0)
+		s.network.refuse("a1", "w1", true)
+		time.Sleep(4 * time.Second)
+		s.workers[1].Return()
+		s.network.refuse("a1", "w1", false)
+	}},
 	{"worker drains", 1, func(s *fleet) { s.workers[1].Drain() }},
 }
 
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -38,7 +38,7 @@
 		}
 	}
 	delay := time.Duration(0)
-	if isNew && now.After(c.startupUntil) {
+	if isNew && !c.isStarting(now) {
 		delay = time.Duration(c.workAhead(j) / capacity.speed * float64(time.Millisecond))
 	}
 	if s := j.sealing; s != nil && (!s.Complete || s.Silent) {
@@ -68,6 +68,7 @@
 
 func (c *Core) serviceCapacity(now time.Time, service string) *serviceCapacity {
 	capacity := &serviceCapacity{minSlowness: math.Inf(1)}
+	ejected := 0.0
 	for _, name := range c.agentNames {
 		t := c.targets[name]
 		if t.Service != service {
@@ -81,12 +82,19 @@
 		if !c.isUsable(now, t) {
 			continue
 		}
-		capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		if c.ejection.Ejected(name) {
+			ejected += float64(t.Capacity.CPU) / t.slowness()
+		} else {
+			capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		}
 		capacity.minSlowness = min(capacity.minSlowness, t.slowness())
 		capacity.maxCapacity.CPU = max(capacity.maxCapacity.CPU, t.Capacity.CPU)
 		capacity.maxCapacity.Memory = max(capacity.maxCapacity.Memory, t.Capacity.Memory)
 		capacity.maxCapacity.GPUs = max(capacity.maxCapacity.GPUs, t.Capacity.GPUs)
 	}
+	if capacity.speed == 0 {
+		capacity.speed = ejected // the others are gone; see probeTargets
+	}
 	return capacity
 }
 
@@ -126,7 +134,7 @@
 			capacity = c.serviceCapacity(now, j.Queue.Service)
 			capacities[j.Queue.Service] = capacity
 		}
-		if reason, retry := c.rejectReason(now, j, capacity, false); reason != "" && (reason != reasonNoWorkers || now.After(j.objective)) {
+		if reason, retry := c.rejectReason(now, j, capacity, false); reason != "" && (reason != reasonNoWorkers || now.After(j.objective) && !c.mayGetWorkers(now, j)) {
 			c.reject(now, j, reason, retry)
 			i--
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -40,6 +40,7 @@
 import (
 	"time"
 
+	"masticbay/ejection"
 	"masticbay/evacuation"
 	"masticbay/work"
 	"masticbay/worker"
@@ -84,6 +85,7 @@
 	highestEpoch   uint64 // of all tenures so far
 	evacuated      evacuation.Set
 	placementHeld  bool // until the evacuated data centres are known
+	ejection       *ejection.Tracker
 	decisions      Decisions
 }
 
@@ -91,7 +93,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias),
+		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(),
 	}
 }
 
@@ -271,6 +273,7 @@
 	c.abandonOverdue(now)
 	c.expireSlowdowns(now)
 	c.unblockTimed(now)
+	c.reviewWorkers(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
 	c.placeWaiting(now)
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -24,6 +24,9 @@
 	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
 	// Evacuated is set if the agent refuses starts because its data centre is evacuated.
 	Evacuated bool
+	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set.
+	LeavesIn   time.Duration
+	KnowsLeave bool
 }
 
 // Event reports how a run ended.
@@ -47,15 +50,11 @@
 	}
 }
 
-// startupTime is the time after the first contact of a worker during which more
-// workers are expected. Until then no job is rejected for the work that waits before it.
-const startupTime = 400 * time.Millisecond
-
 // Report applies the report of an agent.
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
-		t = &target{agent: agent, life: r.Life, baseSlowness: 1, slowdown: 1, runs: make(map[work.TaskRef]work.Run)}
+		t = &target{agent: agent, life: r.Life, knownSince: now, baseSlowness: 1, slowdown: 1, runs: make(map[work.TaskRef]work.Run)}
 		c.startupUntil = now.Add(startupTime)
 		c.targets[agent] = t
 		c.agentNames = append(c.agentNames, agent)
@@ -68,12 +67,13 @@
 			return // runs of its previous incarnation may not have ended yet
 		}
 		c.lapseRuns(now, t, "agent started anew", true)
-		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted = r.Life, 0, 0, nil
+		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted, t.knownSince = r.Life, 0, 0, nil, now
 		c.requireSeals(agent)
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
-		t.logSlowness, t.consecutiveFailures = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}, 0
+		t.logSlowness = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}
+		c.recordIncarnation(now, t, &r.Target)
 		t.updateSlowness()
 	}
 	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
@@ -87,6 +87,7 @@
 	}
 	c.orderSeals(agent)
 	c.stopLasting(t)
+	c.recordLeave(now, t, r)
 	c.takeStalled(now, t, r.Idle)
 	c.detectStraggler(now, t, r.Slow)
 	if changed || len(r.Events) > 0 {
@@ -137,6 +138,7 @@
 		expired := now.Sub(t.lastContact) > agentRetention && len(t.runs) == 0
 		if expired {
 			delete(c.targets, name)
+			c.ejection.Forget(name)
 		}
 		return expired
 	})
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -23,6 +23,7 @@
 	firstStart   tally.Histogram // from the receipt of a job to its first placement, at the home
 	waiting      tally.Gauge     // tasks that wait, at the home
 	running      tally.Gauge
+	ejected      tally.Gauge   // workers that are ejected, at the home
 	homeChanges  tally.Counter // changes of the home
 	jobsHomeLost tally.Counter // jobs whose home was lost
 	evacuated    tally.Gauge   // evacuated data centres
@@ -34,7 +35,7 @@
 	return &entryMetrics{
 		all: all, scope: s,
 		latency: s.Histogram("answer_seconds", latencyBuckets), firstStart: s.Histogram("first_start_seconds", latencyBuckets),
-		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"),
+		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"), ejected: s.Gauge("home_workers_ejected"),
 		homeChanges: s.Counter("home_changes"), jobsHomeLost: s.Counter("jobs_home_lost"),
 		evacuated: s.Gauge("evacuated_data_centres"),
 	}
@@ -62,6 +63,7 @@
 	unanswered  tally.Counter   // starts without an answer
 	pollsFailed tally.Counter   // polls without an answer
 	listsCut    tally.Counter   // polls whose list of ends was cut off
+	workerConns tally.Gauge     // connections to the worker that were opened so far
 	orphaned    tally.Counter   // runs stopped because their home was out of contact
 	evacuated   tally.Gauge     // evacuated data centres
 	startTime   tally.Histogram // answer time of starts
@@ -73,7 +75,7 @@
 	s := all.Scope()
 	return &agentMetrics{
 		all: all, started: s.Counter("starts_taken"), refused: s.Counter("starts_refused"),
-		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), orphaned: s.Counter("runs_orphaned"),
+		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), workerConns: s.Gauge("worker_connections_opened"), orphaned: s.Counter("runs_orphaned"),
 		evacuated: s.Gauge("evacuated_data_centres"),
 		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
 	}
