Move the choice of a worker to a file of its own

place.go holds the order of waiting jobs and the placement of tasks; the choice of the worker for one task gets rules of its own next. No change of behaviour.

--- /dev/null
+++ b/schedule/choose.go
@@ -0,0 +1,114 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"masticbay/work"
+)
+
+// chooseTarget returns the slowest worker with free capacity that still meets the
+// objective. If only workers without free capacity meet it, chooseTarget returns
+// nil, and the task waits for one of them while that can still be in time.
+// Otherwise it returns the fastest worker with free capacity.
+func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
+	step := j.Step(slot)
+	baseTime := c.expectedTime(j, slot)
+	var best, fastest *target
+	var bestTime, fastestTime time.Duration
+	worthWaiting := false
+	for _, t := range open {
+		if !c.isEligible(j, slot, t) {
+			continue
+		}
+		expected := time.Duration(float64(baseTime) * t.slowness() * c.distanceFactor(step, t))
+		inTime := c.meetsObjective(now, j, expected)
+		if !t.free().Holds(step.Room) {
+			worthWaiting = worthWaiting || inTime
+			continue
+		}
+		if inTime && (best == nil || isBetter(expected, t, bestTime, best)) {
+			best, bestTime = t, expected
+		}
+		if fastest == nil || expected < fastestTime {
+			fastest, fastestTime = t, expected
+		}
+	}
+	if best != nil || worthWaiting {
+		return best
+	}
+	return fastest
+}
+
+// The real work of a task may be between these multiples of its estimate. The
+// objective scales with the real work, too.
+const (
+	minWorkFactor = 0.5
+	maxWorkFactor = 2.0
+)
+
+// meetsObjective reports whether a task that is placed now with an expected run time
+// would meet the job's objective at both limits of its real work.
+func (c *Core) meetsObjective(now time.Time, j *job, expected time.Duration) bool {
+	elapsed := now.Sub(j.receivedAt) + c.cfg.Margin
+	workSlack := float64(j.objective.Sub(j.receivedAt)-j.Queue.Target) - float64(expected)
+	fixedSlack := float64(j.Queue.Target - elapsed)
+	return fixedSlack+minWorkFactor*workSlack >= 0 && fixedSlack+maxWorkFactor*workSlack >= 0
+}
+
+// isBetter prefers the clearly slower worker, then the one with more free CPU.
+func isBetter(expected time.Duration, t *target, bestTime time.Duration, best *target) bool {
+	if diff := expected - bestTime; diff > bestTime/similarSpeedDivisor || -diff > bestTime/similarSpeedDivisor {
+		return expected > bestTime
+	}
+	return t.free().CPU > best.free().CPU
+}
+
+// similarSpeedDivisor sets when two workers count as equally fast: their run times
+// differ by at most a fifth, since estimates are far less exact.
+const similarSpeedDivisor = 5
+
+// distanceFactor returns the run time of a task on a worker as a multiple of its run
+// time near its data.
+func (c *Core) distanceFactor(step *work.Step, t *target) float64 {
+	if step.Affinity != "" && !slices.Contains(t.Labels, step.Affinity) {
+		return max(c.cfg.RemoteFactor, 1)
+	}
+	return 1
+}
+
+// isEligible reports whether a worker may run tasks of a slot, free capacity aside.
+func (c *Core) isEligible(j *job, slot int, t *target) bool {
+	step := j.Step(slot)
+	if !c.suits(j, step, t) || j.avoid[t.agent] && c.hasAlternative(j, step, t) {
+		return false
+	}
+	if step.MaxPerOne == 0 {
+		return true
+	}
+	n := 0
+	for ref := range t.runs {
+		if ref.Job == j.ID && j.Slot(ref) == slot {
+			n++
+		}
+	}
+	return n < step.MaxPerOne
+}
+
+// suits reports whether a worker could run tasks of a step if none ran there.
+func (c *Core) suits(j *job, step *work.Step, t *target) bool {
+	return (!j.Stored || c.tenureConfirmedBy(t)) && t.Service == j.Queue.Service && t.Capacity.Holds(step.Room) &&
+		(step.Label == "" || slices.Contains(t.Labels, step.Label))
+}
+
+// hasAlternative reports whether a step has another worker that its job does not avoid. For a
+// lasting job it must have free capacity, as its tasks may never end.
+func (c *Core) hasAlternative(j *job, step *work.Step, excluded *target) bool {
+	for _, name := range c.agentNames {
+		t := c.targets[name]
+		if t != excluded && t.ready && !t.Draining && !j.avoid[name] && c.suits(j, step, t) && (!j.Lasts || t.free().Holds(step.Room)) {
+			return true
+		}
+	}
+	return false
+}
