--- a/bench/pattern.go
+++ b/bench/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"embed"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,14 +15,18 @@
 // Pattern is a load on the workers of a service, with events that change it. It
 // is replayed against the decisions of the homes and agents of a site.
 type Pattern struct {
-	Name        string          `toml:"name"`
-	Expectation string          `toml:"answers"` // how the home is expected to react
-	Seconds     float64         `toml:"seconds"` // how long jobs arrive
-	Seed        uint64          `toml:"seed"`
-	Homes       int             `toml:"homes"` // number of cells; 1 if zero
-	Workers     []PatternWorker `toml:"workers"`
-	Queues      []PatternQueue  `toml:"queues"`
-	Events      []PatternEvent  `toml:"events"`
+	Name        string  `toml:"name"`
+	Expectation string  `toml:"answers"` // how the home is expected to react
+	Seconds     float64 `toml:"seconds"` // how long jobs arrive
+	Seed        uint64  `toml:"seed"`
+	Homes       int     `toml:"homes"` // number of cells; 1 if zero
+	// RemoteFactor is the run time of a task away from its rack as a multiple of that on
+	// it; defaultRemoteFactor if zero.
+	RemoteFactor float64         `toml:"remoteFactor"`
+	PerRack      int             `toml:"perRack"` // workers in a rack, whose label they have; 0 for no racks
+	Workers      []PatternWorker `toml:"workers"`
+	Queues       []PatternQueue  `toml:"queues"`
+	Events       []PatternEvent  `toml:"events"`
 }
 
 // PatternWorker describes a number of equal workers.
@@ -45,6 +50,10 @@
 	WorkMs      float64 `toml:"workMs"` // mean run time of a task at slowness 1
 	Worth       float64 `toml:"worth"`  // of an answer in time
 	DeadlineMs  float64 `toml:"deadlineMs"`
+	TailShare   float64 `toml:"tailShare"` // share of the tasks that take TailFactor times as long
+	TailFactor  float64 `toml:"tailFactor"`
+	NearShare   float64 `toml:"nearShare"` // share of the jobs that have an affinity to a rack
+	HotShare    float64 `toml:"hotShare"`  // share of those jobs that want rack 0; the others draw a rack
 }
 
 // The spreads of a pattern's jobs: standard deviations of the logarithms, as on the
@@ -123,6 +132,9 @@
 		}
 	}
 	for _, q := range p.Queues {
+		if q.TailShare < 0 || q.TailShare > 1 || q.TailShare > 0 && q.TailFactor < 1 || q.NearShare > 0 && p.PerRack == 0 {
+			return errors.NotValidf("queue %q with a tail of %g times %g, %g of it near racks of %d", q.Name, q.TailShare, q.TailFactor, q.NearShare, p.PerRack)
+		}
 		if q.Name == "" || q.PerSecond <= 0 || q.Tasks < 1 || q.WorkMs <= 0 || q.CPU <= 0 {
 			return errors.NotValidf("queue %q of %g jobs a second, %g tasks, %g ms", q.Name, q.PerSecond, q.Tasks, q.WorkMs)
 		}
@@ -151,6 +163,20 @@
 	return n
 }
 
+// defaultRemoteFactor is the remote factor of a pattern that does not set it.
+const defaultRemoteFactor = 1.5
+
+// racks returns the number of racks.
+func (p *Pattern) racks() int {
+	if p.PerRack == 0 {
+		return 0
+	}
+	return max(p.workers()/p.PerRack, 1)
+}
+
+// rackLabel returns the label of the workers of a rack.
+func rackLabel(rack int) string { return fmt.Sprint("rack", rack) }
+
 func (q *PatternQueue) queue() work.Queue {
 	return work.Queue{
 		Name: q.Name, Service: patternService, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch,
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -58,7 +59,7 @@
 func Replay(p *Pattern) *ReplayResult { return newReplay(p).run() }
 
 func newReplay(p *Pattern) *replay {
-	node := &platform.Node{MaxWorkerLease: time.Second, RemoteFactor: 1.5}
+	node := &platform.Node{MaxWorkerLease: time.Second, RemoteFactor: cmp.Or(p.RemoteFactor, defaultRemoteFactor)}
 	return &replay{
 		pattern: p, rng: rand.New(rand.NewPCG(p.Seed, 0)), homes: newModelHomes(p, node), guardConfig: site.GuardConfig(node),
 		byAgent: make(map[string]*modelWorker), jobs: make(map[string]*modelJob), burstFactors: make(map[string]float64),
@@ -118,6 +119,9 @@
 	longest := time.Duration(0)
 	for range n {
 		taskTime := millis(r.drawLogNormal(meanTime, taskSpread))
+		if q.TailShare > 0 && r.rng.Float64() < q.TailShare {
+			taskTime = time.Duration(float64(taskTime) * q.TailFactor)
+		}
 		m.taskTimes = append(m.taskTimes, taskTime)
 		longest = max(longest, taskTime)
 	}
@@ -129,11 +133,22 @@
 		ID: id, Queue: jobQueue, Left: millis(q.DeadlineMs),
 		Steps: []work.Step{{Count: n, Room: work.Room{CPU: int(r.drawLogNormal(q.CPU, cpuSpread))}, Estimate: millis(r.drawLogNormal(meanTime, estimateSpread))}},
 	}
+	if q.NearShare > 0 && r.rng.Float64() < q.NearShare {
+		j.Steps[0].Affinity = rackLabel(r.drawRack(q))
+	}
 	m.job = j
 	r.handOver(m)
 }
 
-// taskTime returns the run time of a task at slowness 1.
+// drawRack draws the rack near which a job runs.
+func (r *replay) drawRack(q *PatternQueue) int {
+	if r.rng.Float64() < q.HotShare {
+		return 0
+	}
+	return r.rng.IntN(r.pattern.racks())
+}
+
+// taskTime returns the run time of a task at slowness 1 near its data.
 func (r *replay) taskTime(t work.TaskRef) time.Duration { return r.jobs[t.Job].taskTimes[t.Index] }
 
 // performDecisions records the outcomes of jobs that a home has decided, and sends its
--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -95,6 +96,9 @@
 	}
 	w.replay.startCount++
 	total := w.replay.taskTime(o.Start.Run.Task)
+	if rack := w.replay.jobs[o.Start.Run.Task.Job].job.Steps[0].Affinity; rack != "" && !slices.Contains(w.target.Labels, rack) {
+		total = time.Duration(float64(total) * w.replay.homes[0].node.RemoteFactor)
+	}
 	m := &modelRun{run: o.Start.Run, resources: o.Start.Room, remaining: total, total: total, updatedAt: w.replay.clock.elapsed}
 	w.runs[m.run.Task] = m
 	if w.failsRuns {
@@ -200,6 +204,10 @@
 		replay: r, agent: name, guard: worker.NewGuard(r.guardConfig), baseSlowness: p.Slowness, slowFactor: 1, runs: make(map[work.TaskRef]*modelRun),
 		target: work.Target{ID: name, Born: 1, Service: patternService, Labels: p.Labels, Capacity: work.Room{CPU: p.CPU, Memory: 1 << 20}},
 	}
+	if n := r.pattern.racks(); n > 0 {
+		// Each rack has workers of all kinds.
+		w.target.Labels = append(slices.Clone(p.Labels), rackLabel(i%n))
+	}
 	w.pollOffset = time.Duration(i) * pollInterval / time.Duration(r.pattern.workers())
 	return w
 }
