Learn the distribution of run times by queue

With 3 in 100 tasks that take seven times as long, callers of lifts lost one route-profile job in fifty, and a tenth of the work was thrown away: two tail tasks made their worker count as slow, runs in their tail were stopped as overdue and started again, and the worker was quarantined for it.

A worker counts as slow only if its slow runs are not explained by the tail; a run is abandoned beyond twice what hardly any run of its queue exceeds; what a run takes beyond its worker's slowdown is its own work, which it would take with it to another worker. A run in its tail moves the mean of a worker or a queue by at most 1. Runs that end on a worker under suspicion are not counted.

--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -63,7 +63,7 @@
 
 // recordRunTime updates the slowness of a worker and the bias of a queue by the run
 // time of a task that was done. A temporary slowdown is left out of the slowness.
-func (c *Core) recordRunTime(t *target, j *job, slot int, took time.Duration) {
+func (c *Core) recordRunTime(now time.Time, t *target, j *job, slot int, took time.Duration) {
 	t.consecutiveFailures = 0
 	est := j.Step(slot).Estimate
 	if est <= 0 || took <= 0 {
@@ -71,22 +71,39 @@
 	}
 	ratio := math.Log(float64(took) / float64(est) / c.distanceFactor(j.Step(slot), t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
-	t.logSlowness.add(ratio-b.value, slownessWindow)
+	if !now.Before(t.suspectUntil) {
+		b.ratios.add(math.Exp(ratio - b.value - math.Log(t.baseSlowness)))
+	}
+	t.logSlowness.add(t.logSlowness.bound(ratio-b.value), slownessWindow)
 	t.updateSlowness()
-	b.add(ratio-t.logSlowness.value, biasWindow)
+	b.add(b.bound(ratio-t.logSlowness.value), biasWindow)
 	b.runTimeFactor = math.Exp(b.value)
 }
 
+// bound limits how far a value may be from the mean: one run in its tail says little
+// about a worker or a queue, while many that agree still move the mean.
+func (m *movingMean) bound(v float64) float64 {
+	if m.n == 0 {
+		return v
+	}
+	return min(max(v, m.value-maxDeviation), m.value+maxDeviation)
+}
+
+// maxDeviation bounds the deviation from the mean of logarithms, at two and a half times
+// that of estimates that are wrong by 40%.
+const maxDeviation = 1.0
+
 // bias is the mean error of a queue's estimates, as the log of run time over estimate.
 type bias struct {
 	movingMean
 	runTimeFactor float64 // run time over estimate on a worker of slowness 1
+	ratios        *ratios // of run time to expected time
 }
 
 func (c *Core) queueBias(queue string) *bias {
 	b, ok := c.biases[queue]
 	if !ok {
-		b = &bias{runTimeFactor: 1}
+		b = &bias{runTimeFactor: 1, ratios: newRatios()}
 		c.biases[queue] = b
 	}
 	return b
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -8,12 +8,20 @@
 
 // A run that makes progress is abandoned when it takes overdueFactor times as long
 // as expected, and another worker gets the task. Estimates are wrong by up to four
-// times, and slow workers take up to seven times as long.
+// times, and slow workers take up to seven times as long. Runs of a queue with a tail
+// may take longer: overdueTailFactor times what hardly any run exceeds, so that runs
+// which are longer than all before still end and are learned.
 const (
-	overdueFactor  = 12
-	minOverdueTime = time.Second
+	minOverdueFactor  = 12
+	overdueTailFactor = 2
+	minOverdueTime    = time.Second
 )
 
+// overdueFactor returns the multiple of its expected time after which a run is abandoned.
+func (c *Core) overdueFactor(j *job) float64 {
+	return max(minOverdueFactor, overdueTailFactor*c.queueBias(j.Queue.Name).ratios.long)
+}
+
 // abandonOverdue abandons runs that take far longer than expected.
 func (c *Core) abandonOverdue(now time.Time) {
 	for _, name := range c.agentNames {
@@ -27,7 +35,7 @@
 				continue
 			}
 			tk := &j.tasks[j.Slot(r.Task)][r.Task.Index]
-			limit := max(overdueFactor*tk.expected, minOverdueTime)
+			limit := max(time.Duration(c.overdueFactor(j)*float64(tk.expected)), minOverdueTime)
 			if !tk.stopping && now.Sub(tk.startedAt) > limit && now.Sub(t.lastContact) < c.cfg.SuspectAfter {
 				c.abandonRun(now, t, j, r, "takes far longer than expected")
 			}
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -48,21 +48,29 @@
 // and moves such runs to other workers.
 func (c *Core) detectStraggler(now time.Time, t *target, slow []Projection) {
 	jobs := make(map[string]bool)
-	sum, n := 0.0, 0
+	var factors []float64
+	tail := 0.0
 	for _, p := range slow {
 		if tk := c.placedTask(t, p.Run); tk != nil && tk.expected > 0 {
 			jobs[p.Run.Task.Job] = true
-			sum += math.Log(float64(p.Took) / float64(tk.expected) * tk.slowdown)
-			n++
+			factors = append(factors, float64(p.Took)/float64(tk.expected)*tk.slowdown)
+			tail = max(tail, c.tailWhileRunning(p.Run.Task.Job, tk.expected))
 		}
 	}
-	if len(jobs) < minSlowJobs || 2*n < c.countMatureRuns(now, t)+t.normalEnds.countRecent(now) {
+	n := len(factors)
+	active := c.countMatureRuns(now, t) + t.normalEnds.countRecent(now)
+	if len(jobs) < minSlowJobs || 2*n < active {
+		return
+	}
+	t.suspectUntil = now.Add(recentWindow)
+	if chance := atLeast(n, max(active, n), tail); chance > maxTailChance {
 		return
 	}
-	slowdown := math.Exp(sum / float64(n))
+	slices.Sort(factors)
+	slowdown := factors[n/2]
 	if t.slowdown == 1 {
 		c.addNote(Note{Agent: t.agent, Kind: "workerSlow", Reason: "runs of several jobs go slower than expected",
-			Values: map[string]float64{"times": slowdown, "slowRuns": float64(n), "runs": float64(len(t.runs))}})
+			Values: map[string]float64{"times": slowdown, "slowRuns": float64(n), "runs": float64(len(t.runs)), "tailShare": tail}})
 	}
 	t.slowdown, t.lastSlow = max(slowdown, 1), now
 	for _, p := range slow {
@@ -70,6 +78,44 @@
 	}
 }
 
+// maxTailChance is the chance below which the slow runs of a worker are not explained by
+// the tail of their queues. Two of two slow runs are beyond it where 3 in 100 tasks are
+// in the tail.
+const maxTailChance = 0.001
+
+// tailWhileRunning returns the share of the active runs of a job's queue that are in the
+// tail. It is more than the share of the tasks that are, as such runs take longer.
+func (c *Core) tailWhileRunning(id string, expected time.Duration) float64 {
+	tail := c.queueBias(c.jobs[id].Queue.Name).ratios.tail
+	if tail == 0 {
+		return 0
+	}
+	times := (slowRatio*float64(expected) + float64(recentWindow)) / (float64(expected) + float64(recentWindow))
+	return min(tail*times/(1-tail+tail*times), 1)
+}
+
+// atLeast returns the chance of k or more hits in n trials that hit with a probability.
+func atLeast(k, n int, p float64) (sum float64) {
+	term := math.Pow(1-p, float64(n)) // of exactly i hits
+	if p <= 0 || p >= 1 {
+		return min(max(p, 0), 1)
+	}
+	for i := range n + 1 {
+		if i >= k {
+			sum += term
+		}
+		term *= float64(n-i) / float64(i+1) * p / (1 - p)
+	}
+	return sum
+}
+
+// slowRatio is the ratio of run time to expected time from which agents report a run as
+// slow; assumedSlowShare of the runs are above it by wrong estimates alone.
+const (
+	slowRatio        = worker.SlowFactor
+	assumedSlowShare = 0.012
+)
+
 // placedTask returns the task of a run that is on a worker, or nil.
 func (c *Core) placedTask(t *target, r work.Run) *task {
 	current, ok := t.runs[r.Task]
@@ -110,7 +156,10 @@
 	if step.Gang {
 		return // the other members of the gang would end, too
 	}
-	baseTime := c.expectedTime(j, j.Slot(p.Run.Task))
+	// What remains of the factor beside the worker's slowdown is the task's own work,
+	// which it takes with it.
+	ownWork := max(float64(p.Took)/float64(tk.expected)*tk.slowdown/t.slowdown, 1)
+	baseTime := time.Duration(float64(c.expectedTime(j, j.Slot(p.Run.Task))) * ownWork)
 	for _, o := range c.openTargets(now) {
 		elsewhere := stopCost + time.Duration(float64(baseTime)*o.slowness()*c.distanceFactor(step, o))
 		if o == t || !c.isEligible(j, j.Slot(p.Run.Task), o) || !o.free().Holds(step.Room) || minMoveGain*elsewhere > remaining {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -25,6 +25,7 @@
 	logSlowness         movingMean // mean log of run time over expected time on a worker of slowness 1
 	slowdown            float64    // temporary factor on baseSlowness; 1 if the worker is not slow
 	lastSlow            time.Time  // when slowdown was last observed
+	suspectUntil        time.Time  // until then slow runs of several jobs were reported
 	normalEnds          normalEnds // recent ends of runs that were not slow
 	consecutiveFailures int        // runs that failed or stalled
 	backoffUntil        time.Time  // no task is placed before
