Prefer the rack of a task's data, and wait for it while that ends sooner

Among workers that meet the objective, one near the data comes first. If the rack has no free capacity, the task waits for it while the end of that wait and the run there come before the end of a run elsewhere; the wait follows from the CPU that waits before the task and the CPU that the ends of runs are expected to free. Demand for each rack is learned over 2 s, and tasks without an affinity leave that much of it free while there is capacity elsewhere. Without a remote factor or affinities nothing changes.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -8,36 +8,78 @@
 )
 
 // chooseTarget returns the slowest worker with free capacity that still meets the
-// objective. If only workers without free capacity meet it, chooseTarget returns
-// nil, and the task waits for one of them while that can still be in time.
-// Otherwise it returns the fastest worker with free capacity.
+// objective, and one outside the racks that others want if there is any. If only workers
+// without free capacity meet it, chooseTarget returns nil, and the task waits for one of
+// them while that can still be in time. Otherwise it returns the fastest worker with free
+// capacity. A task whose rack has no free capacity waits for it while that ends sooner.
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
-	var best, fastest *target
-	var bestTime, fastestTime time.Duration
-	worthWaiting := false
+	var best, reserved, outside, fastest choice
+	worthWaiting, nearFree := false, false
 	for _, t := range open {
 		if !c.isEligible(j, slot, t) {
 			continue
 		}
-		expected := time.Duration(float64(baseTime) * t.slowness() * c.distanceFactor(step, t))
-		inTime := c.meetsObjective(now, j, expected)
+		distance := c.distanceFactor(step, t)
+		this := choice{t, time.Duration(float64(baseTime) * t.slowness() * distance)}
+		inTime := c.meetsObjective(now, j, this.expected)
 		if !t.free().Holds(step.Room) {
 			worthWaiting = worthWaiting || inTime
 			continue
 		}
-		if inTime && (best == nil || isBetter(expected, t, bestTime, best)) {
-			best, bestTime = t, expected
+		nearFree = nearFree || distance == 1
+		switch {
+		case !inTime:
+		case distance > 1:
+			outside = outside.better(this)
+		case !isReserved(step, t):
+			best = best.better(this)
+		default:
+			reserved = reserved.better(this)
 		}
-		if fastest == nil || expected < fastestTime {
-			fastest, fastestTime = t, expected
+		if fastest.t == nil || this.expected < fastest.expected {
+			fastest = this
 		}
 	}
-	if best != nil || worthWaiting {
-		return best
+	if best.t == nil {
+		best = reserved
 	}
-	return fastest
+	if best.t == nil {
+		best = outside
+	}
+	if step.Affinity != "" && !nearFree && fastest.t != nil {
+		if r := c.findRack(step.Affinity); r != nil {
+			if outside.t == nil {
+				outside = fastest
+			}
+			wait, runTime, known := c.waitForRack(j, step, baseTime, r)
+			if known && wait+runTime < outside.expected {
+				return nil
+			}
+			if known {
+				return outside.t
+			}
+		}
+	}
+	if best.t != nil || worthWaiting {
+		return best.t
+	}
+	return fastest.t
+}
+
+// choice is a worker that a task may run on, and the time that it is expected to take there.
+type choice struct {
+	t        *target
+	expected time.Duration
+}
+
+// better returns the better of two workers that meet the objective.
+func (b choice) better(o choice) choice {
+	if b.t == nil || isBetter(o.expected, o.t, b.expected, b.t) {
+		return o
+	}
+	return b
 }
 
 // The real work of a task may be between these multiples of its estimate. The
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -76,6 +76,7 @@
 	biases         map[string]*bias // by queue
 	startupUntil   time.Time        // until then more workers are expected to make contact
 	lastKindUpdate time.Time        // when the mean slowness of each kind of worker was computed
+	racks          []*rack          // that tasks have an affinity to
 	timed          []*job           // have occurrences that are not due yet
 	withdrawn      []withdrawal     // by stopAt
 	sealing        []*job           // are not placed before agents have sealed them
@@ -196,6 +197,7 @@
 		c.reject(now, j, reason, retry)
 		return
 	}
+	c.recordDemand(now, j)
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -261,6 +263,7 @@
 	if now.Sub(c.lastKindUpdate) > kindUpdateInterval {
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
+		c.expireRacks(now)
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -39,9 +39,9 @@
 		c.commitEnd(t, &e)
 	}
 	slot, index := j.Slot(e.Run.Task), e.Run.Task.Index
-	t.used = t.used.Sub(j.Step(slot).Room)
-	j.running--
 	tk := &j.tasks[slot][index]
+	t.release(j.Step(slot), tk)
+	j.running--
 	tk.stopping = false
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -58,6 +58,8 @@
 	expected   time.Duration
 	slowdown   float64 // of the worker when the task was placed
 	stopping   bool
+	near       bool    // its worker is in the rack of its affinity
+	freed      float64 // its part of target.freed
 }
 
 func newJob(now time.Time, w work.Job, runNumberBase int) *job {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -52,6 +52,7 @@
 	if len(open) == 0 {
 		return
 	}
+	c.updateRacks(now, open)
 	maxFree := maxFreeCPU(open)
 	storedAllowed := c.mayPlaceStored(now)
 	for i := 0; i < len(c.waiting); i++ {
@@ -116,6 +117,7 @@
 			}
 			t := c.chooseTarget(now, j, i, open)
 			if t == nil {
+				c.recordWait(j, i)
 				break
 			}
 			c.startRun(now, t, j, i, k, j.nextRun(i, k))
@@ -184,6 +186,6 @@
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
 	t.runs[run.Task] = run
-	t.used = t.used.Add(step.Room)
+	t.occupy(step, tk)
 	return tk
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -75,7 +75,11 @@
 		t.updateSlowness()
 	}
 	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || now.Sub(t.lastContact) > c.cfg.SuspectAfter
+	moved := !slices.Equal(t.Labels, r.Target.Labels)
 	t.Target, t.ready, t.usedByOthers, t.lastContact = r.Target, r.Ready, r.Others, now
+	if moved {
+		c.assignRack(t)
+	}
 	changed = c.adopt(now, t, r) || changed
 	for _, e := range r.Events {
 		if e.Seq > t.lastSeq {
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -62,7 +62,8 @@
 		for _, r := range t.sortedRuns() {
 			if j, ok := c.jobs[r.Task.Job]; ok && j.Stored {
 				delete(t.runs, r.Task)
-				t.used = t.used.Sub(j.Step(j.Slot(r.Task)).Room)
+				slot := j.Slot(r.Task)
+				t.release(j.Step(slot), &j.tasks[slot][r.Task.Index])
 			}
 		}
 	}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -18,6 +18,9 @@
 	excluded            bool      // it belongs to another home
 	used                work.Room // by runs that this home placed
 	usedByOthers        work.Room // by runs of other entries, as reported
+	nearCPU             int       // part of used.CPU: runs with an affinity to the worker's rack
+	freed               float64   // CPU that ends of runs are expected to free per ms
+	rack                *rack     // nil if no task has an affinity to one of the labels
 	runs                map[work.TaskRef]work.Run
 	lastSeq             uint64     // of the last event received
 	baseSlowness        float64    // computed from logSlowness and kindSlowness
