Leave a crowded rack to the tasks that are late elsewhere

The wait counts what higher priorities are going to take of the CPU that becomes free, and counts twice against a run that is in time elsewhere. If a rack can hardly do the work that wants it, a task that is in time outside, on a rack with capacity to spare, runs there. The share of slow runs that wrong estimates explain is 0.02, as the buckets show it.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -11,11 +11,13 @@
 // objective, and one outside the racks that others want if there is any. If only workers
 // without free capacity meet it, chooseTarget returns nil, and the task waits for one of
 // them while that can still be in time. Otherwise it returns the fastest worker with free
-// capacity. A task whose rack has no free capacity waits for it while that ends sooner.
+// capacity. A task whose rack has no free capacity waits for it while that ends sooner. If
+// more work wants a rack than it can do, tasks that are in time elsewhere leave it to those
+// that are not.
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
-	var best, reserved, outside, fastest choice
+	var best, reserved, spare, outside, fastest choice
 	worthWaiting, nearFree := false, false
 	for _, t := range open {
 		if !c.isEligible(j, slot, t) {
@@ -31,6 +33,8 @@
 		nearFree = nearFree || distance == 1
 		switch {
 		case !inTime:
+		case distance > 1 && !isReserved(step, t):
+			spare = spare.better(this)
 		case distance > 1:
 			outside = outside.better(this)
 		case !isReserved(step, t):
@@ -45,21 +49,25 @@
 	if best.t == nil {
 		best = reserved
 	}
+	if spare.t != nil {
+		outside = spare
+	}
 	if best.t == nil {
 		best = outside
 	}
-	if step.Affinity != "" && !nearFree && fastest.t != nil {
-		if r := c.findRack(step.Affinity); r != nil {
-			if outside.t == nil {
-				outside = fastest
-			}
-			wait, runTime, known := c.waitForRack(j, step, baseTime, r)
-			if known && wait+runTime < outside.expected {
+	if r := c.findRack(step.Affinity); r != nil && fastest.t != nil {
+		if r.crowded && spare.t != nil {
+			return spare.t
+		}
+		risk := time.Duration(waitRisk)
+		if outside.t == nil {
+			outside, risk = fastest, 1
+		}
+		if wait, runTime, known := c.waitForRack(j, step, baseTime, r); known && !nearFree {
+			if risk*wait+runTime < outside.expected {
 				return nil
 			}
-			if known {
-				return outside.t
-			}
+			return outside.t
 		}
 	}
 	if best.t != nil || worthWaiting {
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -14,23 +14,30 @@
 
 // rack is the workers that have a label for which tasks have an affinity.
 type rack struct {
-	label    string
-	wanted   float64   // work that jobs wanted to do here, fading with demandMemory; in thousandths of a core times ms
-	wantedAt time.Time // when wanted was computed
+	label     string
+	wanted    float64   // work that jobs wanted to do here, fading with demandMemory; in thousandths of a core times ms
+	lastJobAt time.Time // when a job wanted it last
+	wantedAt  time.Time // when wanted and arrived were computed
+	// arrived is the CPU of the tasks that wanted the rack, by priority, fading as wanted.
+	arrived [priorityClasses]float64
 	// The figures below are computed for each pass over the waiting jobs.
 	capacity int     // CPU of the usable workers
 	foreign  int     // CPU of runs without an affinity to this rack, and of other entries
 	speed    float64 // CPU of the usable workers, scaled to slowness 1
 	freed    float64 // CPU that ends of runs free per ms
 	ahead    int     // CPU of tasks that wait for this rack in this pass
+	crowded  bool    // it can hardly do the work that wants it
 	reserve  int     // CPU that other tasks leave free while there is capacity elsewhere
 }
 
 const (
-	demandMemory    = 2 * time.Second // bursts last for seconds
-	reserveHeadroom = 1.5             // over the mean demand, for wide jobs
-	rackExpiry      = 30 * time.Second
-	maxRacks        = 256 // labels of affinities that are told apart
+	demandMemory    = 2 * time.Second  // bursts last for seconds
+	reserveHeadroom = 1.5              // over the mean demand, for wide jobs
+	crowdedShare    = 0.85             // demand over capacity at which waits become long
+	waitRisk        = 2                // estimated waits count twice against a run that is in time elsewhere
+	rackExpiry      = 30 * time.Second // time without a job that wants the rack
+	maxRacks        = 256              // labels of affinities that are told apart
+	priorityClasses = 8                // the last one holds all lower priorities
 )
 
 // recordDemand counts the work of a job toward the racks that it wants.
@@ -45,7 +52,9 @@
 		}
 		if r := c.rackOf(now, s.Affinity); r != nil {
 			r.fade(now)
+			r.lastJobAt = now
 			r.wanted += float64(s.Count*s.Room.CPU) * ms(c.expectedTime(j, i))
+			r.arrived[priorityClass(j)] += float64(s.Count * s.Room.CPU)
 		}
 	}
 }
@@ -58,13 +67,17 @@
 	if !slices.ContainsFunc(c.agentNames, func(name string) bool { return slices.Contains(c.targets[name].Labels, label) }) {
 		return nil
 	}
-	r := &rack{label: label, wantedAt: now}
+	r := &rack{label: label, wantedAt: now, lastJobAt: now}
 	c.racks = append(c.racks, r)
 	c.assignRacks()
 	return r
 }
 
+// findRack returns the rack of a label, or nil.
 func (c *Core) findRack(label string) *rack {
+	if label == "" {
+		return nil
+	}
 	for _, r := range c.racks {
 		if r.label == label {
 			return r
@@ -94,14 +107,18 @@
 // expireRacks drops racks that no job has wanted for rackExpiry.
 func (c *Core) expireRacks(now time.Time) {
 	n := len(c.racks)
-	c.racks = slices.DeleteFunc(c.racks, func(r *rack) bool { return now.Sub(r.wantedAt) > rackExpiry })
+	c.racks = slices.DeleteFunc(c.racks, func(r *rack) bool { return now.Sub(r.lastJobAt) > rackExpiry })
 	if len(c.racks) < n {
 		c.assignRacks()
 	}
 }
 
 func (r *rack) fade(now time.Time) {
-	r.wanted *= math.Exp(-float64(now.Sub(r.wantedAt)) / float64(demandMemory))
+	factor := math.Exp(-float64(now.Sub(r.wantedAt)) / float64(demandMemory))
+	r.wanted *= factor
+	for i := range r.arrived {
+		r.arrived[i] *= factor
+	}
 	r.wantedAt = now
 }
 
@@ -122,12 +139,10 @@
 		}
 	}
 	for _, r := range c.racks {
-		share := 0.0
-		if r.speed > 0 {
-			rate := r.wanted * math.Exp(-float64(now.Sub(r.wantedAt))/float64(demandMemory)) / ms(demandMemory)
-			share = min(reserveHeadroom*rate/r.speed, 1)
-		}
-		r.reserve = int(share * float64(r.capacity))
+		r.fade(now)
+		share := r.wanted / ms(demandMemory) / max(r.speed, 1)
+		r.crowded = share > crowdedShare
+		r.reserve = int(min(reserveHeadroom*share, 1) * float64(r.capacity))
 	}
 }
 
@@ -139,22 +154,34 @@
 }
 
 // waitForRack returns how long the last pending task of a job would wait for capacity on
-// a rack without any, and its run time there. It is not known if no runs of this home
+// a rack without any, and its run time there. Jobs of higher priorities that are going to
+// arrive take their part of what becomes free. It is not known if no runs of this home
 // are there.
 func (c *Core) waitForRack(j *job, step *work.Step, baseTime time.Duration, r *rack) (wait, runTime time.Duration, known bool) {
 	if r.freed <= 0 || r.speed <= 0 {
 		return 0, 0, false
 	}
-	wait = time.Duration(float64(r.ahead+j.pending*step.Room.CPU) / r.freed * float64(time.Millisecond))
+	left := r.freed
+	for _, cpu := range r.arrived[:priorityClass(j)] {
+		left -= cpu / ms(demandMemory)
+	}
+	// A small rest is as uncertain as the demand, and would give a wait without bound.
+	left = max(left, minFreedShare*r.freed)
+	wait = time.Duration(float64(r.ahead+j.pending*step.Room.CPU) / left * float64(time.Millisecond))
 	return wait, time.Duration(float64(baseTime) * float64(r.capacity) / r.speed), true
 }
 
+// minFreedShare is the least share of the CPU that becomes free which a priority counts on.
+const minFreedShare = 0.05
+
+// priorityClass returns the index of a job's priority in rack.arrived.
+func priorityClass(j *job) int { return min(max(j.Queue.Priority, 0), priorityClasses-1) }
+
 // recordWait counts the pending tasks of a slot toward those that wait for its rack.
 func (c *Core) recordWait(j *job, slot int) {
-	if step := j.Step(slot); step.Affinity != "" {
-		if r := c.findRack(step.Affinity); r != nil {
-			r.ahead += j.pending * step.Room.CPU
-		}
+	step := j.Step(slot)
+	if r := c.findRack(step.Affinity); r != nil {
+		r.ahead += j.pending * step.Room.CPU
 	}
 }
 
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -113,7 +113,7 @@
 // slow; assumedSlowShare of the runs are above it by wrong estimates alone.
 const (
 	slowRatio        = worker.SlowFactor
-	assumedSlowShare = 0.012
+	assumedSlowShare = 0.02
 )
 
 // placedTask returns the task of a run that is on a worker, or nil.
--- a/schedule/straggler_test.go
+++ b/schedule/straggler_test.go
@@ -9,6 +9,15 @@
 	"masticbay/work"
 )
 
+// slowReport returns a report of an agent with all its runs as slow.
+func slowReport(h *harness, agent string, took time.Duration) *schedule.Report {
+	r := &schedule.Report{Life: "1", Target: h.agents[agent], Ready: true, Settled: true}
+	for _, run := range h.starts[agent] {
+		r.Slow = append(r.Slow, schedule.Projection{Run: run, Took: took})
+	}
+	return r
+}
+
 // reportSlow reports runs at an agent as slow, with a projected run time.
 func (h *harness) reportSlow(agent string, took time.Duration, runs ...work.Run) {
 	r := &schedule.Report{Life: "1", Target: h.agents[agent], Ready: true, Settled: true}
