Skip the passes and reports that decide nothing

A pass without waiting jobs, a report without slow runs and the parts of the objective that are the same for all workers are not computed any more.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -17,6 +17,7 @@
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
+	slack := c.slackOf(now, j)
 	var best, reserved, spare, outside, fastest choice
 	worthWaiting, nearFree := false, false
 	for _, t := range open {
@@ -25,7 +26,7 @@
 		}
 		distance := c.distanceFactor(step, t)
 		this := choice{t, time.Duration(float64(baseTime) * t.slowness() * distance)}
-		inTime := c.meetsObjective(now, j, this.expected)
+		inTime := slack.meetsObjective(this.expected)
 		if !t.free().Holds(step.Room) {
 			worthWaiting = worthWaiting || inTime
 			continue
@@ -97,13 +98,22 @@
 	maxWorkFactor = 2.0
 )
 
+// slack is the time that a job has left beside its run time.
+type slack struct {
+	work  float64 // part of the objective that scales with the real work
+	fixed float64 // the rest of the objective that is left
+}
+
+func (c *Core) slackOf(now time.Time, j *job) slack {
+	elapsed := now.Sub(j.receivedAt) + c.cfg.Margin
+	return slack{work: float64(j.objective.Sub(j.receivedAt) - j.Queue.Target), fixed: float64(j.Queue.Target - elapsed)}
+}
+
 // meetsObjective reports whether a task that is placed now with an expected run time
 // would meet the job's objective at both limits of its real work.
-func (c *Core) meetsObjective(now time.Time, j *job, expected time.Duration) bool {
-	elapsed := now.Sub(j.receivedAt) + c.cfg.Margin
-	workSlack := float64(j.objective.Sub(j.receivedAt)-j.Queue.Target) - float64(expected)
-	fixedSlack := float64(j.Queue.Target - elapsed)
-	return fixedSlack+minWorkFactor*workSlack >= 0 && fixedSlack+maxWorkFactor*workSlack >= 0
+func (s slack) meetsObjective(expected time.Duration) bool {
+	rest := s.work - float64(expected)
+	return s.fixed+minWorkFactor*rest >= 0 && s.fixed+maxWorkFactor*rest >= 0
 }
 
 // isBetter prefers the clearly slower worker, then the one with more free CPU.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -48,6 +48,9 @@
 
 // placeWaiting places waiting tasks on workers that have free capacity.
 func (c *Core) placeWaiting(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
+	}
 	open := c.openTargets(now)
 	if len(open) == 0 {
 		return
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -47,6 +47,9 @@
 // detectStraggler decides from the projections of slow runs whether a worker is slow,
 // and moves such runs to other workers.
 func (c *Core) detectStraggler(now time.Time, t *target, slow []Projection) {
+	if len(slow) == 0 {
+		return
+	}
 	jobs := make(map[string]bool)
 	var factors []float64
 	tail := 0.0
