Note in the log when a task leaves its rack or a tail explains slow runs

An operator could not see why a task ran outside its rack, nor that slow runs were seen on a worker which is not treated as slow.

outsideRack has the demand for the rack, the wait and the run times that decided, once for each job; tailSeen the share of the tail and the chance that it explains the slow runs. No change of placement.

--- a/schedule/job.go
+++ b/schedule/job.go
@@ -21,6 +21,7 @@
 	withdrawn      bool // its caller is gone
 	answered       bool
 	missesDeadline bool            // it can no longer meet its cutoff, but still has to be done
+	leftRack       bool            // a task of it runs outside the rack of its affinity
 	isWaiting      bool            // it is in Core.waiting
 	runNumberBase  int             // highest number of a run that another home may have started
 	sealing        *sealing        // set until no such run is left
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -160,6 +160,7 @@
 
 // startRun places a task on a worker and orders its agent to start the run.
 func (c *Core) startRun(now time.Time, t *target, j *job, slot, index, number int) {
+	c.noteOutsideRack(now, t, j, slot)
 	run := j.currentRun(slot, index)
 	run.Number = number
 	tk := c.placeRun(now, t, j, run)
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -26,6 +26,7 @@
 	speed    float64 // CPU of the usable workers, scaled to slowness 1
 	freed    float64 // CPU that ends of runs free per ms
 	ahead    int     // CPU of tasks that wait for this rack in this pass
+	demand   float64 // work that wants it over what it can do
 	crowded  bool    // it can hardly do the work that wants it
 	reserve  int     // CPU that other tasks leave free while there is capacity elsewhere
 }
@@ -140,9 +141,9 @@
 	}
 	for _, r := range c.racks {
 		r.fade(now)
-		share := r.wanted / ms(demandMemory) / max(r.speed, 1)
-		r.crowded = share > crowdedShare
-		r.reserve = int(min(reserveHeadroom*share, 1) * float64(r.capacity))
+		r.demand = r.wanted / ms(demandMemory) / max(r.speed, 1)
+		r.crowded = r.demand > crowdedShare
+		r.reserve = int(min(reserveHeadroom*r.demand, 1) * float64(r.capacity))
 	}
 }
 
@@ -177,6 +178,24 @@
 // priorityClass returns the index of a job's priority in rack.arrived.
 func priorityClass(j *job) int { return min(max(j.Queue.Priority, 0), priorityClasses-1) }
 
+// noteOutsideRack adds a log note on the first task of a job that runs outside its rack.
+func (c *Core) noteOutsideRack(now time.Time, t *target, j *job, slot int) {
+	step := j.Step(slot)
+	if j.leftRack || c.distanceFactor(step, t) == 1 {
+		return
+	}
+	j.leftRack = true
+	baseTime := c.expectedTime(j, slot)
+	values := map[string]float64{"waitedMs": ms(now.Sub(j.receivedAt)), "hereMs": ms(baseTime) * t.slowness() * c.distanceFactor(step, t)}
+	if r := c.findRack(step.Affinity); r != nil {
+		values["rackDemand"] = r.demand
+		if wait, runTime, known := c.waitForRack(j, step, baseTime, r); known {
+			values["rackWaitMs"], values["rackMs"] = ms(wait), ms(runTime)
+		}
+	}
+	c.addNote(Note{Job: j.ID, Agent: t.agent, Kind: "outsideRack", Reason: "its rack " + step.Affinity + " has less to offer", Values: values})
+}
+
 // recordWait counts the pending tasks of a slot toward those that wait for its rack.
 func (c *Core) recordWait(j *job, slot int) {
 	step := j.Step(slot)
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -65,8 +65,13 @@
 	if len(jobs) < minSlowJobs || 2*n < active {
 		return
 	}
+	wasSuspect := now.Before(t.suspectUntil)
 	t.suspectUntil = now.Add(recentWindow)
 	if chance := atLeast(n, max(active, n), tail); chance > maxTailChance {
+		if !wasSuspect {
+			c.addNote(Note{Agent: t.agent, Kind: "tailSeen", Reason: "the tail of the queue explains the slow runs",
+				Values: map[string]float64{"slowRuns": float64(n), "active": float64(active), "tailShare": tail, "chance": chance}})
+		}
 		return
 	}
 	slices.Sort(factors)
