Weigh tail runs by their mean ratio when they explain slow runs

Which share of the active runs of a worker is in the tail was computed as if such a run took 2.5 times the expected time, where it takes 7. So workers with long tasks still counted as slow for a few tail runs.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -8,7 +8,8 @@
 // Jobs wait in the order of their queue's priority and their objective, a soft
 // deadline. When a worker has free capacity, it gets the first waiting task for
 // which it is a good choice: the slowest worker that still meets the job's
-// objective, so that fast workers stay free for the tasks that need them.
+// objective, so that fast workers stay free for the tasks that need them. A task with an
+// affinity to a rack runs there if that ends sooner, wait included.
 //
 // A job's cutoff is its hard deadline: its caller leaves then, or its end is of no
 // use any more. A job that can not end before its cutoff is rejected as soon as that
--- a/schedule/ratios.go
+++ b/schedule/ratios.go
@@ -31,6 +31,7 @@
 	total  float64
 	unread int     // runs since the quantiles were computed
 	long   float64 // hardly any run takes longer
+	slow   float64 // mean ratio of the runs above slowRatio
 	tail   float64 // share of runs reported as slow, beyond what wrong estimates explain
 }
 
@@ -78,6 +79,7 @@
 func (r *ratios) refresh() {
 	r.unread = 0
 	r.long = r.quantile(longQuantile)
+	r.slow = r.meanAbove(slowRatio)
 	r.tail = max(r.shareAbove(slowRatio)-assumedSlowShare, 0)
 }
 
@@ -103,3 +105,17 @@
 	}
 	return sum / r.total
 }
+
+// meanAbove returns the mean ratio of the runs in the buckets above a ratio, and the ratio
+// itself if there are none.
+func (r *ratios) meanAbove(ratio float64) float64 {
+	sum, n := 0.0, 0.0
+	for i := int(bucketOf(ratio)) + 1; i < ratioBuckets; i++ {
+		sum += r.counts[i] * bucketStart(float64(i)+0.5)
+		n += r.counts[i]
+	}
+	if n == 0 {
+		return ratio
+	}
+	return sum / n
+}
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -94,11 +94,12 @@
 // tailWhileRunning returns the share of the active runs of a job's queue that are in the
 // tail. It is more than the share of the tasks that are, as such runs take longer.
 func (c *Core) tailWhileRunning(id string, expected time.Duration) float64 {
-	tail := c.queueBias(c.jobs[id].Queue.Name).ratios.tail
+	learned := c.queueBias(c.jobs[id].Queue.Name).ratios
+	tail := learned.tail
 	if tail == 0 {
 		return 0
 	}
-	times := (slowRatio*float64(expected) + float64(recentWindow)) / (float64(expected) + float64(recentWindow))
+	times := (learned.slow*float64(expected) + float64(recentWindow)) / (float64(expected) + float64(recentWindow))
 	return min(tail*times/(1-tail+tail*times), 1)
 }
 
