Learn a tail also on workers that are under suspicion

While a worker was under suspicion none of its ends were learned.

Such ends are learned while others on the worker end as expected, and without the slowdown that a wrong suspicion gave the worker.

--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -62,8 +62,9 @@
 const kindUpdateInterval = 100 * time.Millisecond
 
 // recordRunTime updates the slowness of a worker and the bias of a queue by the run
-// time of a task that was done. A temporary slowdown is left out of the slowness.
-func (c *Core) recordRunTime(now time.Time, t *target, j *job, slot int, took time.Duration) {
+// time of a task that was done on a worker which had a slowdown when the task was placed.
+// A temporary slowdown is left out of the slowness.
+func (c *Core) recordRunTime(now time.Time, t *target, j *job, slot int, took time.Duration, slowdown float64) {
 	t.consecutiveFailures = 0
 	est := j.Step(slot).Estimate
 	if est <= 0 || took <= 0 {
@@ -71,8 +72,10 @@
 	}
 	ratio := math.Log(float64(took) / float64(est) / c.distanceFactor(j.Step(slot), t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
-	if !now.Before(t.suspectUntil) {
-		b.ratios.add(math.Exp(ratio - b.value - math.Log(t.baseSlowness)))
+	// On a worker under suspicion, only runs that end as expected tell a tail from a slow
+	// worker. The slowdown is that of the placement, so that it doesn't hide a tail.
+	if !now.Before(t.suspectUntil) || t.normalEnds.countRecent(now) > 0 {
+		b.ratios.add(math.Exp(ratio-b.value) * t.slowdown / slowdown / t.baseSlowness)
 	}
 	t.logSlowness.add(t.logSlowness.bound(ratio-b.value), slownessWindow)
 	t.updateSlowness()
