--- a/schedule/core.go
+++ b/schedule/core.go
@@ -8,7 +8,8 @@
 // Jobs wait in the order of their queue's priority and their objective, a soft
 // deadline. When a worker has free capacity, it gets the first waiting task for
 // which it is a good choice: the slowest worker that still meets the job's
-// objective, so that fast workers stay free for the tasks that need them.
+// objective, so that fast workers stay free for the tasks that need them. A task with an
+// affinity to a rack runs there if that ends sooner, wait included.
 //
 // A job's cutoff is its hard deadline: its caller leaves then, or its end is of no
 // use any more. A job that can not end before its cutoff is rejected as soon as that
@@ -78,6 +79,7 @@
 	biases         map[string]*bias // by queue
 	startupUntil   time.Time        // until then more workers are expected to make contact
 	lastKindUpdate time.Time        // when the mean slowness of each kind of worker was computed
+	racks          []*rack          // that tasks have an affinity to
 	timed          []*job           // have occurrences that are not due yet
 	withdrawn      []withdrawal     // by stopAt
 	sealing        []*job           // are not placed before agents have sealed them
@@ -201,6 +203,7 @@
 		c.reject(now, j, reason, retry)
 		return
 	}
+	c.recordDemand(now, j)
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -266,6 +269,7 @@
 	if now.Sub(c.lastKindUpdate) > kindUpdateInterval {
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
+		c.expireRacks(now)
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -37,9 +37,9 @@
 		c.commitEnd(t, &e)
 	}
 	slot, index := j.Slot(e.Run.Task), e.Run.Task.Index
-	t.used = t.used.Sub(j.Step(slot).Room)
-	j.running--
 	tk := &j.tasks[slot][index]
+	t.release(j.Step(slot), tk)
+	j.running--
 	tk.stopping = false
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
@@ -60,7 +60,7 @@
 	case e.End == work.Done:
 		c.recordDone(now, t, j, e.Run)
 		t.normalEnds.add(now, e.Took, tk.expected)
-		c.recordRunTime(t, j, slot, e.Took)
+		c.recordRunTime(now, t, j, slot, e.Took, tk.slowdown)
 		c.finishTask(now, j, slot, index)
 	case e.End == work.Failed:
 		c.failTask(now, t, j, slot, index)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -19,6 +19,9 @@
 	saysEvacuated  bool      // the agent refuses starts because its data centre is evacuated
 	used           work.Room // by runs that this home placed
 	usedByOthers   work.Room // by runs of other entries, as reported
+	nearCPU        int       // part of used.CPU: runs with an affinity to the worker's rack
+	freed          float64   // CPU that ends of runs are expected to free per ms
+	rack           *rack     // nil if no task has an affinity to one of the labels
 	runs           map[work.TaskRef]work.Run
 	lastSeq        uint64     // of the last event received
 	baseSlowness   float64    // computed from logSlowness and kindSlowness
@@ -26,6 +29,7 @@
 	logSlowness    movingMean // mean log of run time over expected time on a worker of slowness 1
 	slowdown       float64    // temporary factor on baseSlowness; 1 if the worker is not slow
 	lastSlow       time.Time  // when slowdown was last observed
+	suspectUntil   time.Time  // until then slow runs of several jobs were reported
 	normalEnds     normalEnds // recent ends of runs that were not slow
 	backoffUntil   time.Time  // no task is placed before
 	confirmedEpoch uint64     // of the tenure that the agent has confirmed; 0 for none
