Keep the links of a former home while its jobs wait

While the home changed for a moment, two jobs whose tasks had been refused with noRoom were requeued at the former home and never placed again. Their callers got unknown after 6 s, although workers were free. This was seen once; that the fault below caused it is concluded from reading, not from a trace.

Cause: an entry that is no longer home of a cell closed all links as soon as no run was left, even if jobs waited. A job of which a task was sent cannot be rejected, and without links no agent is in contact, so it is never placed. The same holds for a job that was handed over from a lost home, waits for the leases of earlier runs, and is not to be sealed by agents.

Change: a former home keeps its links until its last job that is not stored is answered (schedule.Core.HasOpenJobs). This covers more than jobs that were sent: it includes the jobs taken over, and timed jobs between two occurrences. Stored jobs are left out, as the next holder of the ledger goes on with them.

Package failure was not run.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -138,6 +138,17 @@
 	return c.queued + len(c.timed), running
 }
 
+// HasOpenJobs reports whether a job is not answered yet, those stored aside, which the next
+// holder of the ledger goes on with.
+func (c *Core) HasOpenJobs() bool {
+	for _, j := range c.jobs {
+		if !j.answered && !j.Stored {
+			return true
+		}
+	}
+	return false
+}
+
 // Delay returns how long a new job of the lowest priority would wait.
 func (c *Core) Delay(now time.Time) time.Duration {
 	ahead, speed := 0.0, 0.0
--- a/site/home.go
+++ b/site/home.go
@@ -316,12 +316,13 @@
 
 // updateLinks opens a link to each agent of its cell while this entry is home, and
 // closes the links that are no longer needed. An entry that is no longer home keeps its
-// links until its last task has ended. The caller holds mu.
+// links until its last job has ended: a waiting job of which a task was sent cannot be
+// rejected, and without links it is never placed. The caller holds mu.
 func (h *home) updateLinks(now time.Time, isHome bool, running int) {
 	cell, all := h.e.cellAgents()
 	h.siteAgents = all
 	if !isHome {
-		if running == 0 {
+		if running == 0 && !h.core.HasOpenJobs() {
 			h.closeLinks(func(a string) bool { return !h.core.AwaitsSeal(a) })
 		}
 		return
