Bound what untrusted clients hold at every listener

Callers saw: in a trial, clients that send requests short of their end made a process run out of memory. Cause: of the configuration's limits only maxBodyBytes was enforced, and nothing bounded the memory and descriptors of all clients together.

Change: callers, operations (ready, metrics, the agent's control) and links have parts of limits.memoryMb and limits.maxFds of their own, through package intake. Memory is granted before the bytes of headers, bodies, decoded jobs and link messages are used; what does not fit gets 503 with Retry-After, or its connection is closed. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs are enforced. net/rpc links use a codec that tells which calls are open. The collector's memory limit is set to 0.8 of memoryMb.

Changed for earlier deployments: an idle connection of a caller is closed 1 s after the configured idleTimeoutMs (before: after 60 s), and the header of ready, control and metrics requests may take 3 s (before: 1 s). Connection limits and socket buffers are new.

TestLargestRequestsAreServed passes before and after.

--- a/command/site.go
+++ b/command/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/urfave/cli/v3"
 
+	"masticbay/intake"
 	"masticbay/platform"
 	"masticbay/setting"
 	"masticbay/site"
@@ -60,6 +62,9 @@
 			return nil, err
 		}
 	}
+	if limit, ok := (intake.Machine{MemoryMB: p.node.MemoryMB}).CollectorLimit(); ok {
+		debug.SetMemoryLimit(limit)
+	}
 	web.AllowSlowStop(p.node.GracePeriod)
 	stopTraces, err := telemetry.StartTraces(role, p.cfg.Traces, p.cfg.TraceRatio)
 	if err != nil {
--- a/site/agent.go
+++ b/site/agent.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"masticbay/clock"
 	"masticbay/identity"
+	"masticbay/intake"
 	"masticbay/platform"
 	"masticbay/wire"
 	"masticbay/work"
@@ -42,6 +44,7 @@
 	life          string
 	worker        *platform.Worker
 	store         *platform.Store
+	gate          *intake.Gate
 	rpc           *wire.Server
 	http          *http.Server
 	metricsServer *http.Server
@@ -83,11 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.http = &http.Server{Handler: platform.HandleReports(a.takeReport, a.logBadReport), ReadHeaderTimeout: time.Second}
-	a.metricsServer = serveMetrics(a.metrics.all)
-	go a.rpc.Serve(lns[0])
-	go func() { _ = a.http.Serve(lns[1]) }()
-	go func() { _ = a.metricsServer.Serve(lns[2]) }()
+	a.serve(lns)
 	for range pollers {
 		go a.pollLoop()
 	}
@@ -97,6 +96,18 @@
 	return a, nil
 }
 
+// serve starts the servers on the listeners for other processes, the worker and metrics.
+func (a *Agent) serve(lns []net.Listener) {
+	g := newGate(a.node, a.clock, a.log, a.metrics.all, nil)
+	a.gate = g
+	a.http = intake.NewServer(platform.HandleReports(a.takeReport, a.logBadReport))
+	a.metricsServer = serveMetrics(a.metrics.all)
+	a.rpc.Limit(g.Links)
+	go a.rpc.Serve(intake.LinkListener(lns[0]))
+	go func() { _ = a.http.Serve(g.Operations.Listener(lns[1])) }()
+	go func() { _ = a.metricsServer.Serve(g.Operations.Listener(lns[2])) }()
+}
+
 // Done returns a nil channel, which never becomes ready: an agent ends only when it
 // is stopped.
 func (a *Agent) Done() <-chan struct{} { return nil }
@@ -129,6 +140,7 @@
 func (a *Agent) Kill() {
 	close(a.stop)
 	a.rpc.Close()
+	a.gate.Close()
 	_ = a.http.Close()
 	_ = a.metricsServer.Close()
 	a.metrics.all.Close()
--- a/site/entry.go
+++ b/site/entry.go
@@ -14,6 +14,7 @@
 
 	"masticbay/clock"
 	"masticbay/identity"
+	"masticbay/intake"
 	"masticbay/platform"
 	"masticbay/roster"
 	"masticbay/wire"
@@ -46,6 +47,7 @@
 	life           string
 	startedAt      time.Time
 	store          *platform.Store
+	gate           *intake.Gate
 	rpc            *wire.Server
 	front          *http.Server
 	callerListener net.Listener // of front
@@ -102,7 +104,9 @@
 	if e.rpc, err = wire.NewServer("Entry", &entryMethods{e}, nil); err != nil {
 		return nil, err
 	}
+	e.gate = newGate(o.Node, o.Clock, o.Log, e.metrics.all, e.requestLimits)
 	if err := e.listen(cmp.Or(o.Listen, e.node.Internal)); err != nil {
+		e.gate.Close()
 		return nil, err
 	}
 	go e.configWatchDuty()
@@ -120,16 +124,18 @@
 	if err != nil {
 		return err
 	}
-	e.callerListener = lns[1]
-	e.front = &http.Server{Handler: http.HandlerFunc(e.serveCaller), ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+	g := e.gate
+	e.callerListener = g.Callers.Listener(lns[1])
+	e.front = intake.NewServer(http.HandlerFunc(e.serveCaller))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, e.serveReady)
-	e.ready = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	e.ready = intake.NewServer(mux)
 	e.metricsServer = serveMetrics(e.metrics.all)
-	go e.rpc.Serve(lns[0])
-	go func() { _ = e.front.Serve(lns[1]) }()
-	go func() { _ = e.ready.Serve(lns[2]) }()
-	go func() { _ = e.metricsServer.Serve(lns[3]) }()
+	e.rpc.Limit(g.Links)
+	go e.rpc.Serve(intake.LinkListener(lns[0]))
+	go func() { _ = e.front.Serve(e.callerListener) }()
+	go func() { _ = e.ready.Serve(g.Operations.Listener(lns[2])) }()
+	go func() { _ = e.metricsServer.Serve(g.Operations.Listener(lns[3])) }()
 	return nil
 }
 
@@ -158,8 +164,6 @@
 }
 
 const (
-	frontHeaderTimeout = 3 * time.Second // from the first byte of a request to the end of its header
-	frontIdleTimeout   = 60 * time.Second
 	balancerNoticeTime = 2300 * time.Millisecond // the load balancer probes once a second and acts after two failures
 	acceptCallersFor   = 3 * time.Second         // from the start of a stop; leaves most jobs time to end
 	answerMargin       = 300 * time.Millisecond  // before the end of a stop, to write the last answers
@@ -222,6 +226,7 @@
 	_ = e.ready.Close()
 	_ = e.metricsServer.Close()
 	e.rpc.Close()
+	e.gate.Close()
 	e.metrics.all.Close()
 	e.store.Close()
 	e.home.close()
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"masticbay/intake"
 	"masticbay/platform"
 	"masticbay/telemetry"
 	"masticbay/work"
@@ -92,16 +92,8 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		e.requestLog.Info().Err(err).Str("job", id).Msg("request not read")
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
-	}
-	s, err := platform.DecodeJob(id, q, raw)
-	if err != nil {
-		e.requestLog.Info().Err(err).Str("job", id).Msg("cannot decode the request")
-		w.WriteHeader(http.StatusBadRequest)
+	s, ok := e.readJob(w, r, q, id, limit)
+	if !ok {
 		return
 	}
 	if s.Backfill || !s.Job.Stored && (s.Job.Lasts || s.Job.Times > 0) {
@@ -126,6 +118,44 @@
 	e.logWriteError(platform.WriteOutcome(w, out))
 }
 
+// readJob reads and decodes a job within the memory that is granted to the request, or
+// answers why it can not.
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request, q work.Queue, id string, limit int64) (s platform.Submission, ok bool) {
+	raw, err := intake.ReadBody(w, r, limit)
+	if err == nil {
+		err = intake.Reserve(w, r, intake.JSONCost(raw))
+	}
+	switch {
+	case errors.Is(err, intake.ErrRefused):
+		e.logWriteError(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
+		return s, false
+	case err != nil:
+		e.requestLog.Info().Err(err).Str("job", id).Msg("request not read")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return s, false
+	}
+	if s, err = platform.DecodeJob(id, q, raw); err != nil {
+		e.requestLog.Info().Err(err).Str("job", id).Msg("cannot decode the request")
+		w.WriteHeader(http.StatusBadRequest)
+		return s, false
+	}
+	if intake.Reserve(w, r, int64(s.Job.Tasks())*intake.TaskCost) != nil {
+		e.logWriteError(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
+		return s, false
+	}
+	return s, true
+}
+
+// requestLimits returns the bounds on requests of the configuration in force.
+func (e *Entry) requestLimits() (l intake.Limits) {
+	cfg := e.config.Load()
+	if cfg == nil {
+		return l
+	}
+	c := cfg.Limits()
+	return intake.Limits{HeaderBytes: c.HeaderBytes, BodyBytes: c.BodyBytes, HeaderTimeout: c.HeaderTimeout, IdleTimeout: c.IdleTimeout}
+}
+
 // submit stores a job, or runs it and waits for its end.
 func (e *Entry) submit(ctx context.Context, j work.Job, receivedAt time.Time) work.Outcome {
 	if j.Stored {
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -4,8 +4,12 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"masticbay/clock"
+	"masticbay/intake"
+	"masticbay/platform"
 	"masticbay/schedule"
 	"masticbay/telemetry"
 	"masticbay/work"
@@ -75,9 +79,34 @@
 	}
 }
 
+// scrapeCost covers the text of all metrics and its compressed form.
+const scrapeCost = 512 << 10 // bytes
+
 // serveMetrics returns a server of metrics. The caller starts and closes it.
 func serveMetrics(m *telemetry.Metrics) *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", m.Handler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		if intake.Reserve(w, r, scrapeCost) != nil {
+			_ = platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second) // never fails
+			return
+		}
+		m.Handler()(w, r)
+	})
+	return intake.NewServer(mux)
+}
+
+// newGate returns the bounds of what the clients of a process hold, with their metrics.
+func newGate(n *platform.Node, clk clock.Clock, log zerolog.Logger, m *telemetry.Metrics, limits func() intake.Limits) *intake.Gate {
+	scope := m.Scope()
+	return intake.NewGate(intake.Options{
+		Machine: intake.Machine{MemoryMB: n.MemoryMB, MaxDescriptors: n.MaxFDs}, Clock: clk, Log: log, Limits: limits,
+		Report: func(u intake.Usage) {
+			part := scope.Tagged(map[string]string{"part": u.Part})
+			part.Gauge("clients_held_bytes").Update(float64(u.Held))
+			part.Gauge("clients_connections").Update(float64(u.Connections))
+			for cause, count := range u.Refused {
+				scope.Tagged(map[string]string{"part": u.Part, "cause": string(cause)}).Counter("clients_refused").Inc(int64(count))
+			}
+		},
+	})
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -6,12 +6,15 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"masticbay/intake"
 )
 
 // Server serves the methods of one process. NewServer makes one.
 type Server struct {
 	rpc      *rpc.Server
 	messages *MessageCounter
+	links    *intake.Part // bounds connections and messages; nil for no bounds
 
 	mu     sync.Mutex // guards the fields below
 	conns  map[net.Conn]struct{}
@@ -27,6 +30,9 @@
 	return s, s.rpc.RegisterName(name, receiver)
 }
 
+// Limit bounds the connections and messages by those of p. It is called before Serve.
+func (s *Server) Limit(p *intake.Part) { s.links = p }
+
 // Serve accepts and serves connections on ln until Close.
 func (s *Server) Serve(ln net.Listener) {
 	if !s.setListener(ln) {
@@ -37,8 +43,15 @@
 		if err != nil {
 			return
 		}
+		var link *intake.Link
+		if s.links != nil {
+			if link = s.links.Admit(conn); link == nil {
+				continue
+			}
+			conn = link
+		}
 		if s.addConn(conn) {
-			go s.serveConn(conn)
+			go s.serveConn(conn, link)
 		}
 	}
 }
@@ -56,9 +69,14 @@
 	return true
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+// serveConn serves a connection; link is the same one, or nil if it has no bounds.
+func (s *Server) serveConn(conn net.Conn, link *intake.Link) {
 	defer s.removeConn(conn)
-	s.rpc.ServeConn(&countingConn{deadlineConn{conn, defaultWriteTimeout, s.messages}})
+	if link == nil {
+		s.rpc.ServeConn(&countingConn{deadlineConn{conn, defaultWriteTimeout, s.messages}})
+		return
+	}
+	s.rpc.ServeCodec(newCodec(&countingConn{deadlineConn{link, defaultWriteTimeout, s.messages}}, link))
 }
 
 // addConn registers conn, or closes it if the Server is closed already.
