Don't share counts of refusals with the report

Operators could have seen a process end: a report with no refusals held the map of the part, which a connection that was refused then wrote while the report read it.

Change: a report gets the counts only if there are any, and the part a new map.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -165,9 +165,9 @@
 func (p *Part) takeUsage() Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := Usage{Part: p.name, Held: p.budget.Held(), Connections: p.budget.Connections(), Refused: p.refused}
-	if len(u.Refused) > 0 {
-		p.refused = make(map[Cause]int)
+	u := Usage{Part: p.name, Held: p.budget.Held(), Connections: p.budget.Connections()}
+	if len(p.refused) > 0 {
+		u.Refused, p.refused = p.refused, make(map[Cause]int)
 	}
 	return u
 }
