Let new connections use the whole budget of their part

New callers could be refused while large requests that are carried out hold three quarters of the memory: the cost of a connection, 64 KB, counted as a large charge by coincidence.

Change: the charge for a connection is never large.

Result: TestConnectionsUseTheWholeBudget fails before and passes after.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -86,7 +86,7 @@
 		victims = append(victims, b.evict(v))
 	}
 	a = &Account{index: len(b.accounts), since: now, base: b.connCost}
-	verdict, more := b.Charge(now, a, b.connCost)
+	verdict, more := b.charge(now, a, b.connCost, b.limit)
 	if verdict == Refused {
 		return nil, append(victims, more...)
 	}
@@ -104,7 +104,11 @@
 
 // Charge charges n bytes to an account, or says which accounts must be closed first.
 func (b *Budget) Charge(now time.Time, a *Account, n int64) (v Verdict, victims []*Account) {
-	limit := b.limitFor(n)
+	return b.charge(now, a, n, b.limitFor(n))
+}
+
+// charge is Charge with the part of the budget that may be held afterwards.
+func (b *Budget) charge(now time.Time, a *Account, n, limit int64) (v Verdict, victims []*Account) {
 	if n <= 0 || b.held+n <= limit {
 		a.held += n
 		b.held += n
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// TestConnectionsUseTheWholeBudget guards against new connections that are refused while large
+// requests hold the part of the budget that is open to them.
+func TestConnectionsUseTheWholeBudget(t *testing.T) {
+	b := NewBudget(16<<20, 100, httpConnCost)
+	running := mustOpen(t, b, start)
+	if v, _ := b.Charge(start, running, 12<<20-httpConnCost); v != Granted {
+		t.Fatal(v)
+	}
+	running.Begin(start, false)
+	mustOpen(t, b, start)
+}
+
 // TestServedClientsKeepTheirConnections guards against idle connections of a balancer that are
 // closed before those of clients that have completed no request.
 func TestServedClientsKeepTheirConnections(t *testing.T) {
