Reject early under overload and guarantee each queue a share

Callers saw: with demand above the capacity hardly any job was rejected, and the jobs of the lowest priority were late or rejected after a long wait.

Cause: a job was rejected only if it could not end before its cutoff, three times its objective. So a queue grew until all of its jobs were late, and strict priorities left nothing for the lowest queue.

Change: for services whose queues differ in priority, a new job is rejected if the predicted wait in its queue uses up more than a quarter of its slack; a queue that uses less than 0.8 of its share of the demand goes before higher priorities; jobs that can only be late wait behind the others.

--- a/bench/pattern.go
+++ b/bench/pattern.go
@@ -22,6 +22,16 @@
 	Workers     []PatternWorker `toml:"workers"`
 	Queues      []PatternQueue  `toml:"queues"`
 	Events      []PatternEvent  `toml:"events"`
+	Zones       []PatternZone   `toml:"zones"`    // of the callers; one if empty
+	MinWorth    float64         `toml:"minWorth"` // the least worth that tests accept; 0.70 if zero
+	Score       *PatternScore   `toml:"score"`    // how the result is weighed; as at Retour-Plateau if nil
+}
+
+// PatternZone is a data centre of callers.
+type PatternZone struct {
+	Name    string  `toml:"name"`
+	Share   float64 `toml:"share"`   // of the jobs
+	DelayMs float64 `toml:"delayMs"` // until its entry has handed a job to a home
 }
 
 // PatternWorker describes a number of equal workers.
@@ -76,6 +86,7 @@
 	Duration float64 `toml:"for"`     // seconds
 	Factor   float64 `toml:"times"`   // of EventBurst and EventSlow
 	Queue    string  `toml:"queue"`   // of EventBurst; all if empty
+	Zone     string  `toml:"zone"`    // of EventBurst: data centre of the additional jobs; as usual if empty
 	Workers  []int   `toml:"workers"` // indexes of the workers that it affects, from 0
 	Home     int     `toml:"home"`    // of EventHomeLoss: index of the home, from 0
 }
@@ -134,6 +145,9 @@
 		if e.Home < 0 || e.Home >= max(p.Homes, 1) {
 			return errors.NotValidf("event %s of home %d", e.Kind, e.Home)
 		}
+		if e.Zone != "" && !slices.ContainsFunc(p.Zones, func(z PatternZone) bool { return z.Name == e.Zone }) {
+			return errors.NotValidf("event %s of zone %q", e.Kind, e.Zone)
+		}
 		for _, w := range e.Workers {
 			if w < 0 || w >= p.workers() {
 				return errors.NotValidf("event %s of worker %d", e.Kind, w)
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -28,6 +28,7 @@
 	jobs              map[string]*modelJob
 	submitted         []*modelJob
 	burstFactors      map[string]float64 // factors of the arrival rate by queue; that of "" applies to all
+	burstZone         map[string]string  // data centre of the additional jobs, by queue
 	startCount        int                // runs that workers started
 	wastedWork        time.Duration      // of runs that were stopped or lost, at slowness 1
 	withholdsSlowness bool               // reports to the home leave out slow progress
@@ -36,6 +37,7 @@
 // modelJob is a job of a replay, and the answer to it.
 type modelJob struct {
 	queue       *PatternQueue
+	zone        int // index of the data centre of its caller
 	submittedAt time.Duration
 	objective   time.Duration
 	taskTimes   []time.Duration // run times at slowness 1, by task
@@ -44,6 +46,7 @@
 	job         work.Job   // as submitted
 	home        *modelHome // that has the job
 	handedOn    bool       // its first home has rejected it
+	wasSent     bool       // a task of it was sent to an agent
 	firstRun    int
 }
 
@@ -61,7 +64,7 @@
 	node := &platform.Node{MaxWorkerLease: time.Second, RemoteFactor: 1.5}
 	return &replay{
 		pattern: p, rng: rand.New(rand.NewPCG(p.Seed, 0)), homes: newModelHomes(p, node), guardConfig: site.GuardConfig(node),
-		byAgent: make(map[string]*modelWorker), jobs: make(map[string]*modelJob), burstFactors: make(map[string]float64),
+		byAgent: make(map[string]*modelWorker), jobs: make(map[string]*modelJob), burstFactors: make(map[string]float64), burstZone: make(map[string]string),
 		clock: clock{endAt: seconds(p.Seconds) + tailDuration},
 	}
 }
@@ -121,6 +124,7 @@
 		m.taskTimes = append(m.taskTimes, taskTime)
 		longest = max(longest, taskTime)
 	}
+	m.zone = r.drawZone(q)
 	jobQueue := q.queue()
 	m.objective = jobQueue.Objective(longest)
 	id := strconv.Itoa(1_000_000 + len(r.submitted))
@@ -130,6 +134,10 @@
 		Steps: []work.Step{{Count: n, Room: work.Room{CPU: int(r.drawLogNormal(q.CPU, cpuSpread))}, Estimate: millis(r.drawLogNormal(meanTime, estimateSpread))}},
 	}
 	m.job = j
+	if delay := r.pattern.handoverDelay(m.zone); delay > 0 {
+		r.clock.after(delay, func() { r.handOver(m) })
+		return
+	}
 	r.handOver(m)
 }
 
@@ -145,6 +153,11 @@
 			m.outcome, m.answeredAt = e.Outcome.State, r.clock.elapsed+messageDelay
 		}
 	}
+	for _, starts := range decisions.Starts {
+		for i := range starts {
+			r.jobs[starts[i].Run.Task.Job].wasSent = true
+		}
+	}
 	for _, w := range r.workers {
 		starts, stops, seals := decisions.Starts[w.agent], decisions.Stops[w.agent], decisions.Seals[w.agent]
 		if len(starts)+len(stops)+len(seals) == 0 {
@@ -214,9 +227,9 @@
 // applyEvent starts or ends an event.
 func (r *replay) applyEvent(e *PatternEvent, active bool) {
 	if e.Kind == EventBurst {
-		r.burstFactors[e.Queue] = 1
+		r.burstFactors[e.Queue], r.burstZone[e.Queue] = 1, ""
 		if active {
-			r.burstFactors[e.Queue] = e.Factor
+			r.burstFactors[e.Queue], r.burstZone[e.Queue] = e.Factor, e.Zone
 		}
 		return
 	}
--- a/bench/replay_result.go
+++ b/bench/replay_result.go
@@ -18,6 +18,10 @@
 	Queues       []QueueResult
 	WindowShares []float64 // of the jobs submitted in each windowDuration
 	OverallShare float64   // of all jobs
+	ZoneShares   []float64 // by data centre of the callers
+	LateRejects  int       // rejections that came too late to cost nothing; see lateRejectFraction
+	Goodput      float64   // work of the jobs that were in time, as a part of the capacity while jobs arrived
+	score        *PatternScore
 	Starts       int
 	WastedWork   time.Duration // of runs that were stopped or lost, at slowness 1
 }
@@ -46,6 +50,9 @@
 	for _, q := range r.Queues {
 		worst = min(worst, q.WorthShare)
 	}
+	if r.score != nil {
+		return r.score.worth(r, worst)
+	}
 	return 0.35*r.OverallShare + 0.5*r.WorstWindows() + 0.15*worst
 }
 
@@ -61,9 +68,12 @@
 
 // result computes the figures of a replay that has ended.
 func (r *replay) result() *ReplayResult {
-	result := &ReplayResult{Pattern: r.pattern.Name, Starts: r.startCount, WastedWork: r.wastedWork}
+	result := &ReplayResult{Pattern: r.pattern.Name, Starts: r.startCount, WastedWork: r.wastedWork, score: r.pattern.Score}
 	var overall worthShare
-	windows := make([]worthShare, int(seconds(r.pattern.Seconds)/windowDuration))
+	windowLength := r.pattern.Score.windowLength()
+	windows := make([]worthShare, int(seconds(r.pattern.Seconds)/windowLength))
+	zones := make([]worthShare, max(len(r.pattern.Zones), 1))
+	worthOf := r.jobWorths()
 	for i := range r.pattern.Queues {
 		q := &r.pattern.Queues[i]
 		queueResult := QueueResult{Name: q.Name}
@@ -73,16 +83,28 @@
 				continue
 			}
 			earned := queueResult.countJob(job)
-			queueShare.add(earned, q.Worth)
-			overall.add(earned, q.Worth)
-			if i := int(job.submittedAt / windowDuration); i < len(windows) {
-				windows[i].add(earned, q.Worth)
+			if r.pattern.Score != nil && job.rejectedLate() {
+				earned = lateRejectLoss
+				result.LateRejects++
+			}
+			if job.inTime() {
+				result.Goodput += job.work() / r.pattern.capacity()
+			}
+			worth := worthOf(job)
+			queueShare.add(earned, worth)
+			overall.add(earned, worth)
+			zones[job.zone].add(earned, worth)
+			if i := int(job.submittedAt / windowLength); i < len(windows) {
+				windows[i].add(earned, worth)
 			}
 		}
 		queueResult.WorthShare = queueShare.value()
 		result.Queues = append(result.Queues, queueResult)
 	}
 	result.OverallShare = overall.value()
+	for _, z := range zones {
+		result.ZoneShares = append(result.ZoneShares, z.value())
+	}
 	for _, w := range windows {
 		result.WindowShares = append(result.WindowShares, w.value())
 	}
@@ -136,7 +158,12 @@
 	const width = 50
 	for i, v := range r.WindowShares {
 		bar := strings.Repeat("#", int(v*width+0.5))
-		if _, err := fmt.Fprintf(w, "%4.0f s %-*s %.3f\n", (time.Duration(i) * windowDuration).Seconds(), width, bar, v); err != nil {
+		if _, err := fmt.Fprintf(w, "%4.0f s %-*s %.3f\n", (time.Duration(i) * r.score.windowLength()).Seconds(), width, bar, v); err != nil {
+			return err
+		}
+	}
+	if r.score != nil {
+		if _, err := fmt.Fprintf(w, "data centres %.3f, %d late rejections, goodput %.3f of the capacity\n", r.ZoneShares, r.LateRejects, r.Goodput); err != nil {
 			return err
 		}
 	}
--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -28,7 +28,8 @@
 }
 
 // TestPatterns checks the worth that each pattern earns. The limits are the targets
-// of Retour-Plateau for calm days and for days of high load.
+// of Retour-Plateau for calm days and for days of high load, unless a pattern has its own:
+// above its capacity no policy serves all jobs.
 func TestPatterns(t *testing.T) {
 	files, err := Patterns()
 	if err != nil {
@@ -40,6 +41,9 @@
 			if file == "calm.toml" {
 				minWorth = 0.95
 			}
+			if p, err := EmbeddedPattern(file); err == nil && p.MinWorth > 0 {
+				minWorth = p.MinWorth
+			}
 			if res := replayPattern(t, file, nil); res.Worth() < minWorth {
 				t.Errorf("worth %.3f; want at least %.2f", res.Worth(), minWorth)
 			}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -50,12 +50,13 @@
 // chainTime returns the expected time of the job's longest chain of steps on workers
 // of slowness 1.
 func (c *Core) chainTime(j *job) time.Duration {
-	return time.Duration(float64(j.Chain()) * c.queueBias(j.Queue.Name).runTimeFactor)
+	return time.Duration(float64(j.chain) * c.queueBias(j.Queue.Name).runTimeFactor)
 }
 
 // serviceCapacity sums up the usable workers of a service.
 type serviceCapacity struct {
-	speed       float64   // total CPU in thousandths of a core, scaled to slowness 1
+	cpu         float64   // total CPU in thousandths of a core
+	speed       float64   // the same, scaled to slowness 1
 	maxCapacity work.Room // largest of each resource on any worker
 	minSlowness float64   // of the fastest worker
 }
@@ -67,6 +68,7 @@
 		if t.Service != service || !c.isUsable(now, t) {
 			continue
 		}
+		capacity.cpu += float64(t.Capacity.CPU)
 		capacity.speed += float64(t.Capacity.CPU) / t.slowness()
 		capacity.minSlowness = min(capacity.minSlowness, t.slowness())
 		capacity.maxCapacity.CPU = max(capacity.maxCapacity.CPU, t.Capacity.CPU)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -81,6 +81,7 @@
 	sealing        []*job           // are not placed before agents have sealed them
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
+	demand         map[string]*serviceDemand
 	decisions      Decisions
 }
 
@@ -89,6 +90,7 @@
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
 		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias),
+		demand: make(map[string]*serviceDemand),
 	}
 }
 
@@ -196,6 +198,10 @@
 		c.reject(now, j, reason, retry)
 		return
 	}
+	c.countArrival(now, j)
+	if !c.admit(now, j) {
+		return
+	}
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -270,5 +276,6 @@
 	c.unblockTimed(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
+	c.shed(now)
 	c.placeWaiting(now)
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -43,6 +43,7 @@
 	j.running--
 	tk := &j.tasks[slot][index]
 	tk.stopping = false
+	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
 	}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -21,13 +21,18 @@
 	withdrawn      bool // its caller is gone
 	answered       bool
 	missesDeadline bool            // it can no longer meet its cutoff, but still has to be done
+	late           bool            // it can no longer meet its objective; see Core.shed
 	isWaiting      bool            // it is in Core.waiting
 	runNumberBase  int             // highest number of a run that another home may have started
 	sealing        *sealing        // set until no such run is left
 	avoid          map[string]bool // agents where a run failed or stalled
 	firstPlacedAt  time.Time
-	requeues       int      // runs that did not end as done
-	lastRun        runTimes // the run that ended last
+	requeues       int           // runs that did not end as done
+	lastRun        runTimes      // the run that ended last
+	chain          time.Duration // of the estimates, at slowness 1
+	origin         string        // entry that handed it over
+	demand         *queueDemand  // of its queue
+	predictedWait  time.Duration // for which it was rejected
 }
 
 // runTimes tells where and for how long a run waited and ran.
@@ -57,12 +62,14 @@
 	startedAt  time.Time
 	expected   time.Duration
 	slowdown   float64 // of the worker when the task was placed
+	speed      float64 // of the worker's capacity that its run uses
 	stopping   bool
 }
 
 func newJob(now time.Time, w work.Job, runNumberBase int) *job {
 	j := &job{Job: w, receivedAt: now.Add(-w.Age), tasks: make([][]task, w.Slots()), unfinished: make([]int, w.Slots()), runNumberBase: runNumberBase}
-	j.objective = j.receivedAt.Add(w.Queue.Objective(w.Chain()))
+	j.chain = w.Chain()
+	j.objective = j.receivedAt.Add(w.Queue.Objective(j.chain))
 	j.minCPU = w.Steps[0].Room.CPU
 	for i := range j.tasks {
 		j.minCPU = min(j.minCPU, w.Step(i).Room.CPU)
@@ -99,7 +106,7 @@
 // cutoff returns the time after which the end of a job is of no use to a caller
 // that waits for it.
 func (c *Core) cutoff(j *job) time.Time {
-	return j.receivedAt.Add(time.Duration(float64(j.Queue.Objective(j.Chain())) * c.cfg.CutoffFactor))
+	return j.receivedAt.Add(time.Duration(float64(j.Queue.Objective(j.chain)) * c.cfg.CutoffFactor))
 }
 
 // unblock makes those tasks pending that are due and whose steps are ready.
--- /dev/null
+++ b/schedule/overload.go
@@ -0,0 +1,159 @@
+package schedule
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// The rules for overload. They apply to services whose queues differ in priority, and
+// have no effect while jobs do not wait.
+//
+//   - A new job is rejected if the predicted wait in its queue leaves it no time to meet
+//     its objective. So the jobs that are accepted are in time, and the others know at once.
+//   - While a queue is too long, the entries with the least waiting work there may add to
+//     it, so that a flood through one entry is rejected before the jobs of others.
+//   - A queue that gets less than its guaranteed share of the capacity goes before
+//     those of a higher priority.
+//   - A job that can only be late waits behind those that can be in time.
+
+const (
+	// waitPart is the part of a job's slack that it may wait at most. Estimates are off by
+	// 40%, and so is the slack; a shorter queue does not reduce the work that gets done
+	// while jobs wait at all.
+	waitPart = 0.25
+	// minWaitLimit is a wait for which no job is rejected. Shorter queues are no sign of
+	// overload.
+	minWaitLimit = 20 * time.Millisecond
+	// earlyRejection is the time after its receipt until which a job may be rejected for
+	// the load. Later the caller could do little with a rejection.
+	earlyRejection = 50 * time.Millisecond
+)
+
+const reasonOverload = "its queue is too long for it to end in time"
+
+// managed reports whether the rules for overload apply to a job.
+func (c *Core) managed(j *job) bool {
+	return j.demand != nil && !j.Stored && !j.Lasts && j.Times == 0 && c.demand[j.Queue.Service].ranked()
+}
+
+// overloadRejection decides whether a job that has had no task sent is rejected since it
+// would wait for too long behind some work of its queue.
+func (c *Core) overloadRejection(now time.Time, d *serviceDemand, j *job, ahead float64) (rejected bool, wait time.Duration) {
+	wait = d.wait(now, j.demand, ahead)
+	limit := max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
+	switch {
+	case wait <= limit:
+		return false, wait
+	case wait <= 2*limit && j.demand.belowMean(j.origin):
+		return false, wait
+	}
+	return true, wait
+}
+
+// slack returns how long a job can wait and still meet its objective on a worker of
+// mean slowness.
+func (c *Core) slack(now time.Time, d *serviceDemand, j *job) time.Duration {
+	need := time.Duration(float64(c.chainTime(j)) * d.meanSlowness())
+	return j.objective.Sub(now) - need - c.cfg.Margin
+}
+
+// belowMean reports whether less work waits from an entry than from the mean of those
+// that have work waiting in the queue.
+func (q *queueDemand) belowMean(origin string) bool {
+	n, own := len(q.origins), 0.0
+	for i := range q.origins {
+		if q.origins[i].name == origin {
+			own = q.origins[i].waiting
+		}
+	}
+	return n > 1 && own*float64(n) < q.waiting
+}
+
+// admit decides whether a new job is accepted under the load.
+func (c *Core) admit(now time.Time, j *job) bool {
+	if !c.managed(j) || j.sealing != nil || !now.After(c.startupUntil) {
+		return true
+	}
+	d := c.demandOf(now, j.Queue.Service)
+	rejected, wait := c.overloadRejection(now, d, j, j.demand.waiting)
+	if rejected {
+		c.rejectForLoad(now, d, j, wait)
+		return false
+	}
+	j.demand.addWaiting(j.origin, c.pendingWork(j))
+	return true
+}
+
+// rejectForLoad rejects a job for the wait in its queue.
+func (c *Core) rejectForLoad(now time.Time, d *serviceDemand, j *job, wait time.Duration) {
+	j.predictedWait = wait
+	c.reject(now, j, reasonOverload, c.retryAfter(now, d, j, wait))
+}
+
+// Retries of rejected jobs are spread over retrySpread times the demand over the capacity.
+const (
+	retrySpread    = 2 * time.Second
+	maxRetrySpread = 10 * time.Second
+)
+
+// retryAfter returns when a rejected job should be submitted again: after the wait in its
+// queue, plus a part of a longer time that depends on the job, so that the jobs that are
+// rejected in one moment do not return in one.
+func (c *Core) retryAfter(now time.Time, d *serviceDemand, j *job, wait time.Duration) time.Duration {
+	demand := 0.0
+	for _, q := range d.queues {
+		demand += q.recent.rate(now, recentTime)
+	}
+	spread := min(float64(retrySpread)*max(demand/max(d.capacity.speed, 1), 1), float64(maxRetrySpread))
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.ID))
+	return wait + time.Duration(spread*float64(h.Sum32()%1024)/1024)
+}
+
+// shed rejects jobs that were accepted just now, but whose queue has become too long, and
+// moves those that can only be late behind the others.
+func (c *Core) shed(now time.Time) {
+	for _, d := range c.demand {
+		for _, q := range d.queues {
+			q.passed = 0
+		}
+	}
+	for i := 0; i < len(c.waiting); i++ {
+		j := c.waiting[i]
+		if !c.managed(j) {
+			continue
+		}
+		d := c.demandOf(now, j.Queue.Service)
+		switch {
+		case !j.late && c.onlyLate(now, d, j):
+			c.demote(j)
+			i--
+			continue
+		case !j.late && !j.wasSent && j.sealing == nil && now.Sub(j.receivedAt) <= earlyRejection && now.After(c.startupUntil):
+			if rejected, wait := c.overloadRejection(now, d, j, j.demand.passed); rejected {
+				c.rejectForLoad(now, d, j, wait)
+				i--
+				continue
+			}
+		}
+		if !j.late {
+			j.demand.passed += c.pendingWork(j)
+		}
+	}
+}
+
+// onlyLate reports whether a job can not meet its objective even if its pending tasks
+// start at once on the fastest worker.
+func (c *Core) onlyLate(now time.Time, d *serviceDemand, j *job) bool {
+	if len(j.tasks) > 1 {
+		return now.After(j.objective)
+	}
+	return now.Add(time.Duration(float64(c.chainTime(j)) * d.capacity.minSlowness)).After(j.objective)
+}
+
+// demote moves a waiting job behind those that can be in time.
+func (c *Core) demote(j *job) {
+	c.dequeue(j)
+	j.late = true
+	c.enqueue(j)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -17,8 +17,8 @@
 	c.waiting = slices.Insert(c.waiting, i, j)
 }
 
-// compareJobs orders jobs: those that can still meet their deadline first, then by
-// priority, by objective and by ID.
+// compareJobs orders jobs: those that can still meet their deadline first, of these those
+// that can meet their objective, then by priority, by objective and by ID.
 func compareJobs(a, b *job) int {
 	switch {
 	case a.missesDeadline != b.missesDeadline:
@@ -26,12 +26,19 @@
 			return 1
 		}
 		return -1
+	case a.late != b.late:
+		if a.late {
+			return 1
+		}
+		return -1
 	case a.Queue.Priority != b.Queue.Priority:
 		return a.Queue.Priority - b.Queue.Priority
 	case !a.objective.Equal(b.objective):
 		return a.objective.Compare(b.objective)
 	case a.ID < b.ID:
 		return -1
+	case a.ID == b.ID:
+		return 0
 	default:
 		return 1
 	}
@@ -43,6 +50,10 @@
 		return
 	}
 	j.isWaiting = false
+	if i, ok := slices.BinarySearchFunc(c.waiting, j, compareJobs); ok && c.waiting[i] == j {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		return
+	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(o *job) bool { return o == j })
 }
 
@@ -52,10 +63,29 @@
 	if len(open) == 0 {
 		return
 	}
+	p := &placement{open: open, storedAllowed: c.mayPlaceStored(now)}
+	if c.guaranteeApplies(now) {
+		c.placeInOrder(now, p, true)
+	}
+	c.placeInOrder(now, p, false)
+}
+
+// placement is a pass over the waiting jobs.
+type placement struct {
+	open          []*target
+	storedAllowed bool
+}
+
+// placeInOrder places waiting tasks in the order of their jobs. With deficient, it
+// does so only for queues while they get less than their guaranteed share.
+func (c *Core) placeInOrder(now time.Time, p *placement, deficient bool) {
+	open, storedAllowed := p.open, p.storedAllowed
 	maxFree := maxFreeCPU(open)
-	storedAllowed := c.mayPlaceStored(now)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
+		if deficient && !j.belowGuarantee() {
+			continue
+		}
 		if j.minCPU > maxFree || j.Stored && !storedAllowed || j.sealing != nil {
 			continue
 		}
@@ -291,5 +321,6 @@
 	}
 	t.runs[run.Task] = run
 	t.used = t.used.Add(step.Room)
+	c.countRunning(j, tk, float64(step.Room.CPU)/t.slowness())
 	return tk
 }
