--- a/bench/replay_result.go
+++ b/bench/replay_result.go
@@ -20,6 +20,7 @@
 	OverallShare float64   // of all jobs
 	ZoneShares   []float64 // by data centre of the callers
 	LateRejects  int       // rejections that came too late to cost nothing; see lateRejectFraction
+	SlowRejects  int       // rejections more than earlyRejectTime after the submission
 	Goodput      float64   // work of the jobs that were in time, as a part of the capacity while jobs arrived
 	score        *PatternScore
 	Starts       int
@@ -87,6 +88,9 @@
 				earned = lateRejectLoss
 				result.LateRejects++
 			}
+			if job.outcome == work.Rejected && job.answeredAt-job.submittedAt > earlyRejectTime {
+				result.SlowRejects++
+			}
 			if job.inTime() {
 				result.Goodput += job.work() / r.pattern.capacity()
 			}
@@ -163,7 +167,7 @@
 		}
 	}
 	if r.score != nil {
-		if _, err := fmt.Fprintf(w, "data centres %.3f, %d late rejections, goodput %.3f of the capacity\n", r.ZoneShares, r.LateRejects, r.Goodput); err != nil {
+		if _, err := fmt.Fprintf(w, "data centres %.3f, %d late rejections, %d after %v, goodput %.3f of the capacity\n", r.ZoneShares, r.LateRejects, r.SlowRejects, earlyRejectTime, r.Goodput); err != nil {
 			return err
 		}
 	}
--- a/bench/replay_score.go
+++ b/bench/replay_score.go
@@ -32,6 +32,9 @@
 	lateRejectLoss     = -0.5
 )
 
+// earlyRejectTime is the time within which a job that is not served has to be rejected.
+const earlyRejectTime = 50 * time.Millisecond
+
 // worth returns the weighed sum of the shares of a result.
 func (s *PatternScore) worth(r *ReplayResult, worstQueue float64) float64 {
 	return s.Whole*r.OverallShare + s.WorstQueue*worstQueue + s.WorstZone*slices.Min(r.ZoneShares) + s.WorstWindows*r.WorstWindows()
--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -46,6 +46,8 @@
 			}
 			if res := replayPattern(t, file, nil); res.Worth() < minWorth {
 				t.Errorf("worth %.3f; want at least %.2f", res.Worth(), minWorth)
+			} else if check := overloadChecks[file]; check != nil {
+				check(t, res)
 			}
 		})
 	}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -50,7 +50,7 @@
 // chainTime returns the expected time of the job's longest chain of steps on workers
 // of slowness 1.
 func (c *Core) chainTime(j *job) time.Duration {
-	return time.Duration(float64(j.chain) * c.queueBias(j.Queue.Name).runTimeFactor)
+	return time.Duration(float64(j.chain) * c.biasOf(j).runTimeFactor)
 }
 
 // serviceCapacity sums up the usable workers of a service.
@@ -82,6 +82,14 @@
 // milliseconds, at slowness 1.
 func (c *Core) workAhead(j *job) float64 {
 	sum := 0.0
+	if d := c.demand[j.Queue.Service]; d != nil && d.ranked() {
+		for _, q := range d.queues {
+			if q.priority <= j.Queue.Priority {
+				sum += q.waiting
+			}
+		}
+		return sum
+	}
 	for _, o := range c.waiting {
 		if o.Queue.Priority > j.Queue.Priority {
 			break
@@ -103,17 +111,12 @@
 // A job that has had a task sent is answered as unknown instead once its time is over.
 // A job that only lacks workers waits for them until its objective.
 func (c *Core) rejectHopeless(now time.Time) {
-	capacities := make(map[string]*serviceCapacity)
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
 		if j.wasSent || j.Stored {
 			continue
 		}
-		capacity, ok := capacities[j.Queue.Service]
-		if !ok {
-			capacity = c.serviceCapacity(now, j.Queue.Service)
-			capacities[j.Queue.Service] = capacity
-		}
+		capacity := c.demandOf(now, j.Queue.Service).capacity
 		if reason, retry := c.rejectReason(now, j, capacity, false); reason != "" && (reason != reasonNoWorkers || now.After(j.objective)) {
 			c.reject(now, j, reason, retry)
 			i--
@@ -124,9 +127,14 @@
 // reject answers a job that has had no task sent to an agent since its submission.
 // If tasks were sent after an earlier submission of the job, its outcome is unknown.
 func (c *Core) reject(now time.Time, j *job, reason string, retry time.Duration) {
-	c.addNote(Note{Job: j.ID, Kind: "rejected", Reason: reason, Values: map[string]float64{
-		"waitedMs": ms(now.Sub(j.receivedAt)), "queuedTasks": float64(c.queued), "retryMs": ms(retry), "cutoffMs": ms(j.cutoff.Sub(now)),
-	}})
+	c.rejectWith(now, j, reason, retry, make(map[string]float64))
+}
+
+// rejectWith is reject with the figures behind the decision, to which it adds.
+func (c *Core) rejectWith(now time.Time, j *job, reason string, retry time.Duration, values map[string]float64) {
+	values["waitedMs"], values["queuedTasks"] = ms(now.Sub(j.receivedAt)), float64(c.queued)
+	values["retryMs"], values["cutoffMs"] = ms(retry), ms(j.cutoff.Sub(now))
+	c.addNote(Note{Job: j.ID, Kind: "rejected", Reason: reason, Values: values})
 	out := work.Outcome{State: work.Rejected, Reason: reason, RetryAfter: retry}
 	if c.sentJobs[j.ID] {
 		out = work.Outcome{State: work.Unknown, Reason: "ran before its caller was lost; now " + reason}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -80,8 +80,10 @@
 	withdrawn      []withdrawal     // by stopAt
 	sealing        []*job           // are not placed before agents have sealed them
 	tenure         Tenure
-	highestEpoch   uint64 // of all tenures so far
-	demand         map[string]*serviceDemand
+	highestEpoch   uint64                    // of all tenures so far
+	demand         map[string]*serviceDemand // by service
+	open           []*target                 // the result of openTargets, whose memory is used again
+	minWaitingCPU  int                       // no waiting job has a smaller minCPU
 	decisions      Decisions
 }
 
@@ -160,9 +162,15 @@
 // Waiting returns, by queue, the number of waiting jobs that have had no task sent.
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
-	for _, j := range c.waiting {
-		if !j.wasSent {
-			counts[j.Queue.Name]++
+	for i := 0; i < len(c.waiting); {
+		name, n := c.waiting[i].Queue.Name, 0 // the jobs of one queue are side by side
+		for ; i < len(c.waiting) && c.waiting[i].Queue.Name == name; i++ {
+			if !c.waiting[i].wasSent {
+				n++
+			}
+		}
+		if n > 0 {
+			counts[name] += n
 		}
 	}
 	return counts
@@ -194,11 +202,13 @@
 		c.awaitSeals(now, j, h)
 	}
 	c.unblock(now, j)
-	if reason, retry := c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
+	if reason, retry := c.rejectReason(now, j, c.demandOf(now, w.Queue.Service).capacity, true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
 		c.reject(now, j, reason, retry)
 		return
 	}
-	c.countArrival(now, j)
+	if !j.Stored {
+		c.countArrival(now, j)
+	}
 	if !c.admit(now, j) {
 		return
 	}
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -20,25 +20,19 @@
 
 // queueDemand is the demand of one queue.
 type queueDemand struct {
+	service  *serviceDemand
 	name     string
 	priority int
 	recent   decayingRate // of the work that arrives
 	usual    decayingRate // the same over a longer time
 	waiting  float64      // work of the waiting jobs that can be in time
 	running  float64      // speed of the workers' capacity that its runs use
-	origins  []originDemand
 	// guarantee is the speed below which the queue goes before those of a higher
 	// priority; 0 while none is given.
 	guarantee float64
 	passed    float64 // by shed: work of the jobs before
 }
 
-// originDemand is the part of a queue's waiting work that came through one entry.
-type originDemand struct {
-	name    string
-	waiting float64
-}
-
 // Over recentTime arrivals are averaged to predict a wait, over usualTime to find the
 // queue's part of the demand: bursts on the users' sites last 4 to 6 s and hardly change it.
 const (
@@ -81,18 +75,24 @@
 	return d
 }
 
+// remeasure has the capacity of a service counted anew when it is needed next.
+func (c *Core) remeasure(service string) {
+	if d, ok := c.demand[service]; ok {
+		d.capacity = nil
+	}
+}
+
 // measure counts the capacity of a service and the work that waits for it.
 func (c *Core) measure(now time.Time, service string, d *serviceDemand) {
 	d.measuredAt, d.capacity = now, c.serviceCapacity(now, service)
 	for _, q := range d.queues {
 		q.waiting = 0
-		for i := range q.origins {
-			q.origins[i].waiting = 0
-		}
 	}
+	c.minWaitingCPU = math.MaxInt
 	for _, j := range c.waiting {
+		c.minWaitingCPU = min(c.minWaitingCPU, j.minCPU)
 		if j.demand != nil && j.Queue.Service == service && !j.late && !j.missesDeadline {
-			j.demand.addWaiting(j.origin, c.pendingWork(j))
+			j.demand.waiting += c.pendingWork(j)
 		}
 	}
 	for _, q := range d.queues {
@@ -100,28 +100,15 @@
 		if d.ranked() && q.waiting > 0 {
 			q.guarantee = d.guaranteed(now, q)
 		}
-		q.origins = slices.DeleteFunc(q.origins, func(o originDemand) bool { return o.waiting == 0 })
 	}
 }
 
-// addWaiting counts waiting work that came through an entry.
-func (q *queueDemand) addWaiting(origin string, work float64) {
-	q.waiting += work
-	for i := range q.origins {
-		if q.origins[i].name == origin {
-			q.origins[i].waiting += work
-			return
-		}
-	}
-	q.origins = append(q.origins, originDemand{origin, work})
-}
-
 // countArrival counts a new job and notes its queue's demand in it.
 func (c *Core) countArrival(now time.Time, j *job) {
 	d := c.demandOf(now, j.Queue.Service)
 	q, ok := d.byName[j.Queue.Name]
 	if !ok {
-		q = &queueDemand{name: j.Queue.Name, priority: j.Queue.Priority}
+		q = &queueDemand{service: d, name: j.Queue.Name, priority: j.Queue.Priority}
 		d.byName[q.name] = q
 		d.queues = append(d.queues, q)
 		if d.firstArrival.IsZero() {
@@ -216,6 +203,14 @@
 	}
 }
 
+// countPlaced subtracts a placed task from the waiting work, which measure counts anew only
+// after measureInterval.
+func (c *Core) countPlaced(j *job, slot int) {
+	if j.demand != nil && !j.late {
+		j.demand.waiting = max(j.demand.waiting-float64(j.Step(slot).Room.CPU)*ms(c.expectedTime(j, slot)), 0)
+	}
+}
+
 // belowGuarantee reports whether the job's queue gets less than it is guaranteed.
 func (j *job) belowGuarantee() bool {
 	return j.demand != nil && !j.late && j.demand.running < j.demand.guarantee
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -30,9 +30,8 @@
 	requeues       int           // runs that did not end as done
 	lastRun        runTimes      // the run that ended last
 	chain          time.Duration // of the estimates, at slowness 1
-	origin         string        // entry that handed it over
+	bias           *bias         // of its queue; see Core.biasOf
 	demand         *queueDemand  // of its queue
-	predictedWait  time.Duration // for which it was rejected
 }
 
 // runTimes tells where and for how long a run waited and ran.
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -10,8 +10,6 @@
 //
 //   - A new job is rejected if the predicted wait in its queue leaves it no time to meet
 //     its objective. So the jobs that are accepted are in time, and the others know at once.
-//   - While a queue is too long, the entries with the least waiting work there may add to
-//     it, so that a flood through one entry is rejected before the jobs of others.
 //   - A queue that gets less than its guaranteed share of the capacity goes before
 //     those of a higher priority.
 //   - A job that can only be late waits behind those that can be in time.
@@ -33,21 +31,15 @@
 
 // managed reports whether the rules for overload apply to a job.
 func (c *Core) managed(j *job) bool {
-	return j.demand != nil && !j.Stored && !j.Lasts && j.Times == 0 && c.demand[j.Queue.Service].ranked()
+	return j.demand != nil && !j.Stored && !j.Lasts && j.Times == 0 && j.demand.service.ranked()
 }
 
 // overloadRejection decides whether a job that has had no task sent is rejected since it
 // would wait for too long behind some work of its queue.
-func (c *Core) overloadRejection(now time.Time, d *serviceDemand, j *job, ahead float64) (rejected bool, wait time.Duration) {
+func (c *Core) overloadRejection(now time.Time, d *serviceDemand, j *job, ahead float64) (rejected bool, wait, limit time.Duration) {
 	wait = d.wait(now, j.demand, ahead)
-	limit := max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
-	switch {
-	case wait <= limit:
-		return false, wait
-	case wait <= 2*limit && j.demand.belowMean(j.origin):
-		return false, wait
-	}
-	return true, wait
+	limit = max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
+	return wait > limit, wait, limit
 }
 
 // slack returns how long a job can wait and still meet its objective on a worker of
@@ -57,37 +49,26 @@
 	return j.objective.Sub(now) - need - c.cfg.Margin
 }
 
-// belowMean reports whether less work waits from an entry than from the mean of those
-// that have work waiting in the queue.
-func (q *queueDemand) belowMean(origin string) bool {
-	n, own := len(q.origins), 0.0
-	for i := range q.origins {
-		if q.origins[i].name == origin {
-			own = q.origins[i].waiting
-		}
-	}
-	return n > 1 && own*float64(n) < q.waiting
-}
-
 // admit decides whether a new job is accepted under the load.
 func (c *Core) admit(now time.Time, j *job) bool {
 	if !c.managed(j) || j.sealing != nil || !now.After(c.startupUntil) {
 		return true
 	}
 	d := c.demandOf(now, j.Queue.Service)
-	rejected, wait := c.overloadRejection(now, d, j, j.demand.waiting)
-	if rejected {
-		c.rejectForLoad(now, d, j, wait)
+	if rejected, wait, limit := c.overloadRejection(now, d, j, j.demand.waiting); rejected {
+		c.rejectForLoad(now, d, j, wait, limit)
 		return false
 	}
-	j.demand.addWaiting(j.origin, c.pendingWork(j))
+	j.demand.waiting += c.pendingWork(j)
 	return true
 }
 
 // rejectForLoad rejects a job for the wait in its queue.
-func (c *Core) rejectForLoad(now time.Time, d *serviceDemand, j *job, wait time.Duration) {
-	j.predictedWait = wait
-	c.reject(now, j, reasonOverload, c.retryAfter(now, d, j, wait))
+func (c *Core) rejectForLoad(now time.Time, d *serviceDemand, j *job, wait, limit time.Duration) {
+	c.rejectWith(now, j, reasonOverload, c.retryAfter(now, d, j, wait), map[string]float64{
+		"predictedMs": ms(wait), "limitMs": ms(limit), "waitingWork": j.demand.waiting, "runningSpeed": j.demand.running,
+		"guaranteedSpeed": d.guaranteed(now, j.demand), "capacitySpeed": d.capacity.speed,
+	})
 }
 
 // Retries of rejected jobs are spread over retrySpread times the demand over the capacity.
@@ -130,8 +111,8 @@
 			i--
 			continue
 		case !j.late && !j.wasSent && j.sealing == nil && now.Sub(j.receivedAt) <= earlyRejection && now.After(c.startupUntil):
-			if rejected, wait := c.overloadRejection(now, d, j, j.demand.passed); rejected {
-				c.rejectForLoad(now, d, j, wait)
+			if rejected, wait, limit := c.overloadRejection(now, d, j, j.demand.passed); rejected {
+				c.rejectForLoad(now, d, j, wait, limit)
 				i--
 				continue
 			}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 		return
 	}
 	j.isWaiting = true
+	c.minWaitingCPU = min(c.minWaitingCPU, j.minCPU)
 	i, _ := slices.BinarySearchFunc(c.waiting, j, compareJobs)
 	c.waiting = slices.Insert(c.waiting, i, j)
 }
@@ -59,8 +61,12 @@
 
 // placeWaiting places waiting tasks on workers that have free capacity.
 func (c *Core) placeWaiting(now time.Time) {
+	if len(c.waiting) == 0 {
+		c.minWaitingCPU = math.MaxInt
+		return
+	}
 	open := c.openTargets(now)
-	if len(open) == 0 {
+	if maxFreeCPU(open) < c.minWaitingCPU {
 		return
 	}
 	p := &placement{open: open, storedAllowed: c.mayPlaceStored(now)}
@@ -74,6 +80,29 @@
 type placement struct {
 	open          []*target
 	storedAllowed bool
+	refusals      []refusals
+}
+
+// refusals counts the jobs of one kind that did not take the free capacity in a pass,
+// since they could not be in time there. Beyond maxRefusals the others of the kind are not
+// asked: otherwise each free worker would be offered to all waiting jobs again and again.
+type refusals struct {
+	queue, label, affinity string
+	count                  int
+}
+
+const maxRefusals = 32
+
+// refusalsOf returns the count for the kind of a job.
+func (p *placement) refusalsOf(j *job) *refusals {
+	step := &j.Steps[0]
+	for i := range p.refusals {
+		if r := &p.refusals[i]; r.queue == j.Queue.Name && r.label == step.Label && r.affinity == step.Affinity {
+			return r
+		}
+	}
+	p.refusals = append(p.refusals, refusals{queue: j.Queue.Name, label: step.Label, affinity: step.Affinity})
+	return &p.refusals[len(p.refusals)-1]
 }
 
 // placeInOrder places waiting tasks in the order of their jobs. With deficient, it
@@ -81,7 +110,7 @@
 func (c *Core) placeInOrder(now time.Time, p *placement, deficient bool) {
 	open, storedAllowed := p.open, p.storedAllowed
 	maxFree := maxFreeCPU(open)
-	for i := 0; i < len(c.waiting); i++ {
+	for i := 0; i < len(c.waiting) && maxFree >= c.minWaitingCPU; i++ {
 		j := c.waiting[i]
 		if deficient && !j.belowGuarantee() {
 			continue
@@ -89,8 +118,14 @@
 		if j.minCPU > maxFree || j.Stored && !storedAllowed || j.sealing != nil {
 			continue
 		}
+		r := p.refusalsOf(j)
+		if r.count >= maxRefusals {
+			continue
+		}
 		if c.placeJob(now, j, open) {
 			maxFree = maxFreeCPU(open)
+		} else {
+			r.count++
 		}
 		if j.pending == 0 {
 			j.isWaiting = false
@@ -100,15 +135,17 @@
 	}
 }
 
-// openTargets returns the workers on which tasks may be placed now.
+// openTargets returns the workers on which tasks may be placed now. The result is valid
+// until the next call.
 func (c *Core) openTargets(now time.Time) []*target {
-	var open []*target
+	open := c.open[:0]
 	for _, name := range c.agentNames {
 		t := c.targets[name]
 		if c.isUsable(now, t) && now.After(t.backoffUntil) {
 			open = append(open, t)
 		}
 	}
+	c.open = open
 	return open
 }
 
@@ -322,5 +359,6 @@
 	t.runs[run.Task] = run
 	t.used = t.used.Add(step.Room)
 	c.countRunning(j, tk, float64(step.Room.CPU)/t.slowness())
+	c.countPlaced(j, slot)
 	return tk
 }
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -87,6 +87,9 @@
 	c.stopLasting(t)
 	c.takeStalled(now, t, r.Idle)
 	c.detectStraggler(now, t, r.Slow)
+	if changed {
+		c.remeasure(t.Service)
+	}
 	if changed || len(r.Events) > 0 {
 		c.placeWaiting(now)
 	}
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -70,7 +70,7 @@
 		return
 	}
 	ratio := math.Log(float64(took) / float64(est) / c.distanceFactor(j.Step(slot), t) / t.slowdown)
-	b := c.queueBias(j.Queue.Name)
+	b := c.biasOf(j)
 	t.logSlowness.add(ratio-b.value, slownessWindow)
 	t.updateSlowness()
 	b.add(ratio-t.logSlowness.value, biasWindow)
@@ -92,8 +92,16 @@
 	return b
 }
 
+// biasOf returns the bias of a job's queue. The job keeps it, since it is needed often.
+func (c *Core) biasOf(j *job) *bias {
+	if j.bias == nil {
+		j.bias = c.queueBias(j.Queue.Name)
+	}
+	return j.bias
+}
+
 // expectedTime returns the expected run time of a slot's task on a worker of slowness 1.
 func (c *Core) expectedTime(j *job, slot int) time.Duration {
 	est := max(j.Step(slot).Estimate, time.Millisecond)
-	return time.Duration(float64(est) * c.queueBias(j.Queue.Name).runTimeFactor)
+	return time.Duration(float64(est) * c.biasOf(j).runTimeFactor)
 }
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -21,20 +21,36 @@
 		if len(t.runs) == 0 {
 			continue
 		}
+		if !c.hasOverdue(now, t) {
+			continue // by far the most workers, whose runs need not be sorted then
+		}
 		for _, r := range t.sortedRuns() {
-			j, ok := c.jobs[r.Task.Job]
-			if !ok || j.Lasts {
-				continue
-			}
-			tk := &j.tasks[j.Slot(r.Task)][r.Task.Index]
-			limit := max(overdueFactor*tk.expected, minOverdueTime)
-			if !tk.stopping && now.Sub(tk.startedAt) > limit && now.Sub(t.lastContact) < c.cfg.SuspectAfter {
+			if j, ok := c.jobs[r.Task.Job]; ok && c.isOverdue(now, t, j, r) {
 				c.abandonRun(now, t, j, r, "takes far longer than expected")
 			}
 		}
 	}
 }
 
+// hasOverdue reports whether a worker has a run that takes far longer than expected.
+func (c *Core) hasOverdue(now time.Time, t *target) bool {
+	for _, r := range t.runs {
+		if j, ok := c.jobs[r.Task.Job]; ok && c.isOverdue(now, t, j, r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) isOverdue(now time.Time, t *target, j *job, r work.Run) bool {
+	if j.Lasts {
+		return false
+	}
+	tk := &j.tasks[j.Slot(r.Task)][r.Task.Index]
+	limit := max(overdueFactor*tk.expected, minOverdueTime)
+	return !tk.stopping && now.Sub(tk.startedAt) > limit && now.Sub(t.lastContact) < c.cfg.SuspectAfter
+}
+
 // abandonRun stops a run and counts it as a failure of its worker.
 func (c *Core) abandonRun(now time.Time, t *target, j *job, r work.Run, reason string) {
 	tk := &j.tasks[j.Slot(r.Task)][r.Task.Index]
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -276,11 +276,12 @@
 // demoteLate moves stored jobs that are past their cutoff behind all jobs that are
 // not. They still have to be done.
 func (c *Core) demoteLate(now time.Time) {
-	for _, j := range slices.Clone(c.waiting) {
-		if j.Stored && !j.Lasts && j.Times == 0 && !j.missesDeadline && now.After(j.cutoff) {
+	for i := 0; i < len(c.waiting); i++ {
+		if j := c.waiting[i]; j.Stored && !j.Lasts && j.Times == 0 && !j.missesDeadline && now.After(j.cutoff) {
 			c.dequeue(j)
 			j.missesDeadline = true
 			c.enqueue(j)
+			i--
 		}
 	}
 }
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -47,6 +47,9 @@
 // countNote counts a log note about a decision of the home.
 func (m *entryMetrics) countNote(n *schedule.Note) {
 	m.scope.Tagged(map[string]string{"what": n.Kind}).Counter("home_decisions").Inc(1)
+	if n.Kind == "rejected" {
+		m.scope.Tagged(map[string]string{"why": n.Reason}).Counter("home_rejections").Inc(1)
+	}
 	if first, ok := n.Values["firstStartMs"]; ok {
 		m.firstStart.RecordDuration(time.Duration(first * float64(time.Millisecond)))
 	}
