Decide on a rejection for the load at the submission only

A service without capacity rejects nothing for the load, since its workers may return, and a queue that is not used for a minute is forgotten.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -286,6 +286,6 @@
 	c.unblockTimed(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
-	c.shed(now)
+	c.demoteOnlyLate(now)
 	c.placeWaiting(now)
 }
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -30,7 +30,6 @@
 	// guarantee is the speed below which the queue goes before those of a higher
 	// priority; 0 while none is given.
 	guarantee float64
-	passed    float64 // by shed: work of the jobs before
 }
 
 // Over recentTime arrivals are averaged to predict a wait, over usualTime to find the
@@ -47,6 +46,10 @@
 // queues of a higher priority would have no advantage.
 const guaranteedPart = 0.8
 
+// queueRetention is the time without jobs after which a queue is forgotten, so that one
+// which the operator has removed does not count as one of another priority.
+const queueRetention = time.Minute
+
 // decayingRate is a rate of events with weights that decay exponentially.
 type decayingRate struct {
 	value float64 // per millisecond, as of at
@@ -85,6 +88,13 @@
 // measure counts the capacity of a service and the work that waits for it.
 func (c *Core) measure(now time.Time, service string, d *serviceDemand) {
 	d.measuredAt, d.capacity = now, c.serviceCapacity(now, service)
+	d.queues = slices.DeleteFunc(d.queues, func(q *queueDemand) bool {
+		unused := q.waiting == 0 && q.running < 1 && now.Sub(q.usual.at) > queueRetention
+		if unused {
+			delete(d.byName, q.name)
+		}
+		return unused
+	})
 	for _, q := range d.queues {
 		q.waiting = 0
 	}
@@ -185,6 +195,9 @@
 			before += o.waiting // of equal priority, in the order of objectives
 		}
 	}
+	if before == 0 {
+		return 0
+	}
 	wait := math.Inf(1)
 	if left > 0 {
 		wait = before / left
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -21,7 +21,7 @@
 	withdrawn      bool // its caller is gone
 	answered       bool
 	missesDeadline bool            // it can no longer meet its cutoff, but still has to be done
-	late           bool            // it can no longer meet its objective; see Core.shed
+	late           bool            // it can no longer meet its objective; see Core.demoteOnlyLate
 	isWaiting      bool            // it is in Core.waiting
 	runNumberBase  int             // highest number of a run that another home may have started
 	sealing        *sealing        // set until no such run is left
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -22,9 +22,6 @@
 	// minWaitLimit is a wait for which no job is rejected. Shorter queues are no sign of
 	// overload.
 	minWaitLimit = 20 * time.Millisecond
-	// earlyRejection is the time after its receipt until which a job may be rejected for
-	// the load. Later the caller could do little with a rejection.
-	earlyRejection = 50 * time.Millisecond
 )
 
 const reasonOverload = "its queue is too long for it to end in time"
@@ -34,14 +31,6 @@
 	return j.demand != nil && !j.Stored && !j.Lasts && j.Times == 0 && j.demand.service.ranked()
 }
 
-// overloadRejection decides whether a job that has had no task sent is rejected since it
-// would wait for too long behind some work of its queue.
-func (c *Core) overloadRejection(now time.Time, d *serviceDemand, j *job, ahead float64) (rejected bool, wait, limit time.Duration) {
-	wait = d.wait(now, j.demand, ahead)
-	limit = max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
-	return wait > limit, wait, limit
-}
-
 // slack returns how long a job can wait and still meet its objective on a worker of
 // mean slowness.
 func (c *Core) slack(now time.Time, d *serviceDemand, j *job) time.Duration {
@@ -49,26 +38,26 @@
 	return j.objective.Sub(now) - need - c.cfg.Margin
 }
 
-// admit decides whether a new job is accepted under the load.
+// admit decides whether a new job is accepted under the load, and rejects it if not.
 func (c *Core) admit(now time.Time, j *job) bool {
 	if !c.managed(j) || j.sealing != nil || !now.After(c.startupUntil) {
 		return true
 	}
 	d := c.demandOf(now, j.Queue.Service)
-	if rejected, wait, limit := c.overloadRejection(now, d, j, j.demand.waiting); rejected {
-		c.rejectForLoad(now, d, j, wait, limit)
-		return false
+	if d.capacity.speed == 0 {
+		return true // it waits for workers until its objective; see rejectHopeless
+	}
+	wait := d.wait(now, j.demand, j.demand.waiting)
+	limit := max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
+	if wait <= limit {
+		j.demand.waiting += c.pendingWork(j)
+		return true
 	}
-	j.demand.waiting += c.pendingWork(j)
-	return true
-}
-
-// rejectForLoad rejects a job for the wait in its queue.
-func (c *Core) rejectForLoad(now time.Time, d *serviceDemand, j *job, wait, limit time.Duration) {
 	c.rejectWith(now, j, reasonOverload, c.retryAfter(now, d, j, wait), map[string]float64{
 		"predictedMs": ms(wait), "limitMs": ms(limit), "waitingWork": j.demand.waiting, "runningSpeed": j.demand.running,
 		"guaranteedSpeed": d.guaranteed(now, j.demand), "capacitySpeed": d.capacity.speed,
 	})
+	return false
 }
 
 // Retries of rejected jobs are spread over retrySpread times the demand over the capacity.
@@ -91,35 +80,17 @@
 	return wait + time.Duration(spread*float64(h.Sum32()%1024)/1024)
 }
 
-// shed rejects jobs that were accepted just now, but whose queue has become too long, and
-// moves those that can only be late behind the others.
-func (c *Core) shed(now time.Time) {
-	for _, d := range c.demand {
-		for _, q := range d.queues {
-			q.passed = 0
-		}
-	}
+// demoteOnlyLate moves the jobs that can only be late behind the others.
+func (c *Core) demoteOnlyLate(now time.Time) {
 	for i := 0; i < len(c.waiting); i++ {
 		j := c.waiting[i]
-		if !c.managed(j) {
-			continue
-		}
-		d := c.demandOf(now, j.Queue.Service)
-		switch {
-		case !j.late && c.onlyLate(now, d, j):
-			c.demote(j)
-			i--
+		if j.late || !c.managed(j) || !c.onlyLate(now, c.demandOf(now, j.Queue.Service), j) {
 			continue
-		case !j.late && !j.wasSent && j.sealing == nil && now.Sub(j.receivedAt) <= earlyRejection && now.After(c.startupUntil):
-			if rejected, wait, limit := c.overloadRejection(now, d, j, j.demand.passed); rejected {
-				c.rejectForLoad(now, d, j, wait, limit)
-				i--
-				continue
-			}
-		}
-		if !j.late {
-			j.demand.passed += c.pendingWork(j)
 		}
+		c.dequeue(j)
+		j.late = true
+		c.enqueue(j)
+		i--
 	}
 }
 
@@ -131,10 +102,3 @@
 	}
 	return now.Add(time.Duration(float64(c.chainTime(j)) * d.capacity.minSlowness)).After(j.objective)
 }
-
-// demote moves a waiting job behind those that can be in time.
-func (c *Core) demote(j *job) {
-	c.dequeue(j)
-	j.late = true
-	c.enqueue(j)
-}
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -124,3 +124,16 @@
 	h.submit(job("any", 0, 1, 300*time.Millisecond))
 	h.wantStarts("far", 1)
 }
+
+// TestJobsWithoutWorkersAreNotRejectedForTheLoad guards against rejections after the loss of
+// all workers, which return soon: there is no capacity then, and any demand exceeds it.
+func TestJobsWithoutWorkersAreNotRejectedForTheLoad(t *testing.T) {
+	h := newRankedHarness(t, 2)
+	h.advance(cfg.SuspectAfter+20*time.Millisecond, "a")
+	for i := range 4 {
+		h.submit(job("j"+strconv.Itoa(i), i%2, 1, time.Second))
+	}
+	for i := range 4 {
+		h.wantOutcome("j"+strconv.Itoa(i), "")
+	}
+}
