Count only refusals for the time in the bound on offers

A job that avoids a worker, or whose step limits the tasks on one worker, says nothing about other jobs of its queue, but counted among the 32 that may refuse the free capacity in one pass. With 50 jobs that had failed on a worker, later jobs never got it although it was free (TestJobsThatAvoidAWorkerDoNotHoldBackOthers).

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -163,7 +163,7 @@
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
 	for i := 0; i < len(c.waiting); {
-		name, n := c.waiting[i].Queue.Name, 0 // the jobs of one queue are side by side
+		name, n := c.waiting[i].Queue.Name, 0 // jobs of one queue are mostly side by side
 		for ; i < len(c.waiting) && c.waiting[i].Queue.Name == name; i++ {
 			if !c.waiting[i].wasSent {
 				n++
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -137,3 +137,23 @@
 		h.wantOutcome("j"+strconv.Itoa(i), "")
 	}
 }
+
+// TestJobsThatAvoidAWorkerDoNotHoldBackOthers guards the same bound against jobs that do not
+// take the free capacity for a reason of their own: a run of each has failed there.
+func TestJobsThatAvoidAWorkerDoNotHoldBackOthers(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("bad", 50)
+	for i := range 50 {
+		h.submit(job("j"+strconv.Itoa(i), 0, 1, 300*time.Millisecond))
+	}
+	h.addAgent("full", 1)
+	h.submit(job("busy", 0, 1, 300*time.Millisecond))
+	for _, r := range h.starts["bad"] {
+		h.endRun("bad", r, work.Failed, time.Millisecond)
+	}
+	h.wantStarts("full", 1)
+	h.advance(1600 * time.Millisecond) // the quarantine of the worker ends
+	before := len(h.starts["bad"])
+	h.submit(job("new", 0, 1, 300*time.Millisecond))
+	h.wantStarts("bad", before+1)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -105,6 +105,17 @@
 	return &p.refusals[len(p.refusals)-1]
 }
 
+// refusedForTime reports whether a job that was not placed would fit on an open worker, and
+// so was not placed for the time that it would take there. Jobs with reasons of their own,
+// such as a worker that they avoid, say nothing about others.
+func refusedForTime(j *job, open []*target) bool {
+	step := &j.Steps[0]
+	if len(j.Steps) > 1 || j.Stored || len(j.avoid) > 0 || step.Gang || step.MaxPerOne > 0 {
+		return false
+	}
+	return slices.ContainsFunc(open, func(t *target) bool { return t.free().Holds(step.Room) })
+}
+
 // placeInOrder places waiting tasks in the order of their jobs. With deficient, it
 // does so only for queues while they get less than their guaranteed share.
 func (c *Core) placeInOrder(now time.Time, p *placement, deficient bool) {
@@ -124,7 +135,7 @@
 		}
 		if c.placeJob(now, j, open) {
 			maxFree = maxFreeCPU(open)
-		} else {
+		} else if refusedForTime(j, open) {
 			r.count++
 		}
 		if j.pending == 0 {
