Let jobs wait for their whole slack while the demand fits the capacity

Cause: the limit of a quarter of the slack, which keeps a queue short that stays, also held for one that would be gone soon.

--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -138,6 +138,15 @@
 	j.demand = q
 }
 
+// recentDemand returns the rate of work that has arrived of late, in the unit of the capacity.
+func (d *serviceDemand) recentDemand(now time.Time) float64 {
+	sum := 0.0
+	for _, q := range d.queues {
+		sum += q.recent.rate(now, recentTime)
+	}
+	return sum
+}
+
 // ranked reports whether the queues of the service differ in priority.
 func (d *serviceDemand) ranked() bool {
 	return len(d.queues) > 1 && d.queues[0].priority != d.queues[len(d.queues)-1].priority
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -15,10 +15,15 @@
 //   - A job that can only be late waits behind those that can be in time.
 
 const (
-	// waitPart is the part of a job's slack that it may wait at most. Estimates are off by
-	// 40%, and so is the slack; a shorter queue does not reduce the work that gets done
-	// while jobs wait at all.
-	waitPart = 0.25
+	// overloadFactor is the demand over the capacity from which on a queue counts as one that
+	// stays. At 1, random peaks on small sites counted.
+	overloadFactor = 1.1
+	// longQueuePart is the part of a job's slack that it may wait at most while the demand
+	// exceeds the capacity by that. Estimates are off by 40%, and so is the slack; a shorter queue
+	// does not reduce the work that gets done while jobs wait at all.
+	longQueuePart = 0.25
+	// shortQueuePart is the same for a queue that will be gone soon, since the demand is lower.
+	shortQueuePart = 1.0
 	// minWaitLimit is a wait for which no job is rejected. Shorter queues are no sign of
 	// overload.
 	minWaitLimit = 20 * time.Millisecond
@@ -48,7 +53,11 @@
 		return true // it waits for workers until its objective; see rejectHopeless
 	}
 	wait := d.wait(now, j.demand, j.demand.waiting)
-	limit := max(time.Duration(waitPart*float64(c.slack(now, d, j))), minWaitLimit)
+	part := shortQueuePart
+	if d.recentDemand(now) > overloadFactor*d.capacity.speed {
+		part = longQueuePart
+	}
+	limit := max(time.Duration(part*float64(c.slack(now, d, j))), minWaitLimit)
 	if wait <= limit {
 		j.demand.waiting += c.pendingWork(j)
 		return true
@@ -70,11 +79,7 @@
 // queue, plus a part of a longer time that depends on the job, so that the jobs that are
 // rejected in one moment do not return in one.
 func (c *Core) retryAfter(now time.Time, d *serviceDemand, j *job, wait time.Duration) time.Duration {
-	demand := 0.0
-	for _, q := range d.queues {
-		demand += q.recent.rate(now, recentTime)
-	}
-	spread := min(float64(retrySpread)*max(demand/max(d.capacity.speed, 1), 1), float64(maxRetrySpread))
+	spread := min(float64(retrySpread)*max(d.recentDemand(now)/max(d.capacity.speed, 1), 1), float64(maxRetrySpread))
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(j.ID))
 	return wait + time.Duration(spread*float64(h.Sum32()%1024)/1024)
