--- a/schedule/core.go
+++ b/schedule/core.go
@@ -88,6 +88,9 @@
 	evacuated      evacuation.Set
 	placementHeld  bool // until the evacuated data centres are known
 	ejection       *ejection.Tracker
+	demand         map[string]*serviceDemand // by service
+	open           []*target                 // the result of openTargets, whose memory is used again
+	minWaitingCPU  int                       // no waiting job has a smaller minCPU
 	decisions      Decisions
 }
 
@@ -96,6 +99,7 @@
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
 		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(),
+		demand: make(map[string]*serviceDemand),
 	}
 }
 
@@ -176,9 +180,15 @@
 // Waiting returns, by queue, the number of waiting jobs that have had no task sent.
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
-	for _, j := range c.waiting {
-		if !j.wasSent {
-			counts[j.Queue.Name]++
+	for i := 0; i < len(c.waiting); {
+		name, n := c.waiting[i].Queue.Name, 0 // jobs of one queue are mostly side by side
+		for ; i < len(c.waiting) && c.waiting[i].Queue.Name == name; i++ {
+			if !c.waiting[i].wasSent {
+				n++
+			}
+		}
+		if n > 0 {
+			counts[name] += n
 		}
 	}
 	return counts
@@ -210,11 +220,17 @@
 		c.awaitSeals(now, j, h)
 	}
 	c.unblock(now, j)
-	if reason, retry := c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
+	if reason, retry := c.rejectReason(now, j, c.demandOf(now, w.Queue.Service).capacity, true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
 		c.reject(now, j, reason, retry)
 		return
 	}
 	c.recordDemand(now, j)
+	if !j.Stored {
+		c.countArrival(now, j)
+	}
+	if !c.admit(now, j) {
+		return
+	}
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -291,5 +307,6 @@
 	c.reviewWorkers(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
+	c.demoteOnlyLate(now)
 	c.placeWaiting(now)
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -41,6 +41,7 @@
 	t.release(j.Step(slot), tk)
 	j.running--
 	tk.stopping = false
+	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
 	}
