--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -24,7 +24,6 @@
 	name     string
 	priority int
 	recent   decayingRate // of the work that arrives
-	steady   decayingRate // the same over some seconds
 	usual    decayingRate // the same over a longer time
 	waiting  float64      // work of the waiting jobs that can be in time
 	running  float64      // speed of the workers' capacity that its runs use
@@ -38,7 +37,6 @@
 const (
 	recentTime = 700 * time.Millisecond
 	usualTime  = 10 * time.Second
-	steadyTime = 3 * time.Second // a shorter excess of the demand is worked off
 )
 
 // measureInterval is how often the capacity and the waiting work are counted anew.
@@ -136,7 +134,6 @@
 		work += float64(j.Steps[i].Count*j.Steps[i].Room.CPU) * ms(c.expectedTime(j, i))
 	}
 	q.recent.add(now, work, recentTime)
-	q.steady.add(now, work, steadyTime)
 	q.usual.add(now, work, usualTime)
 	j.demand = q
 }
@@ -150,15 +147,6 @@
 	return sum
 }
 
-// steadyDemand returns the rate of work that has arrived over some seconds.
-func (d *serviceDemand) steadyDemand(now time.Time) float64 {
-	sum := 0.0
-	for _, q := range d.queues {
-		sum += q.steady.rate(now, steadyTime)
-	}
-	return sum
-}
-
 // ranked reports whether the queues of the service differ in priority.
 func (d *serviceDemand) ranked() bool {
 	return len(d.queues) > 1 && d.queues[0].priority != d.queues[len(d.queues)-1].priority
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -8,22 +8,22 @@
 // The rules for overload. They apply to services whose queues differ in priority, and
 // have no effect while jobs do not wait.
 //
-//   - A new job is rejected if the predicted wait in its queue leaves it no time to end
-//     before its cutoff. While the demand exceeds the capacity for seconds, a job is already
-//     rejected if it could only be late, since late jobs would hold the capacity that the
-//     next ones need. In a short burst a late answer is better for its caller than none.
+//   - A new job is rejected if the predicted wait in its queue leaves it no time to meet
+//     its objective. So the jobs that are accepted are in time, and the others know at once.
 //   - A queue that gets less than its guaranteed share of the capacity goes before
 //     those of a higher priority.
 //   - A job that can only be late waits behind those that can be in time.
 
 const (
-	// overloadFactor is the demand over the capacity, on the mean of steadyTime, from which on
-	// a queue counts as one that stays. Losing a quarter of the workers for a while is usual.
-	overloadFactor = 1.25
+	// overloadFactor is the demand over the capacity from which on a queue counts as one that
+	// stays. At 1, random peaks on small sites counted.
+	overloadFactor = 1.1
 	// longQueuePart is the part of a job's slack that it may wait at most while the demand
 	// exceeds the capacity by that. Estimates are off by 40%, and so is the slack; a shorter queue
 	// does not reduce the work that gets done while jobs wait at all.
 	longQueuePart = 0.25
+	// shortQueuePart is the same for a queue that will be gone soon, since the demand is lower.
+	shortQueuePart = 1.0
 	// minWaitLimit is a wait for which no job is rejected. Shorter queues are no sign of
 	// overload.
 	minWaitLimit = 20 * time.Millisecond
@@ -36,11 +36,11 @@
 	return j.demand != nil && !j.Stored && !j.Lasts && j.Times == 0 && j.demand.service.ranked()
 }
 
-// slack returns how long a job can wait and still end before a time on a worker of mean
-// slowness.
-func (c *Core) slack(now time.Time, d *serviceDemand, j *job, end time.Time) time.Duration {
+// slack returns how long a job can wait and still meet its objective on a worker of
+// mean slowness.
+func (c *Core) slack(now time.Time, d *serviceDemand, j *job) time.Duration {
 	need := time.Duration(float64(c.chainTime(j)) * d.meanSlowness())
-	return end.Sub(now) - need - c.cfg.Margin
+	return j.objective.Sub(now) - need - c.cfg.Margin
 }
 
 // admit decides whether a new job is accepted under the load, and rejects it if not.
@@ -53,11 +53,11 @@
 		return true // it waits for workers until its objective; see rejectHopeless
 	}
 	wait := d.wait(now, j.demand, j.demand.waiting)
-	limit := c.slack(now, d, j, j.cutoff)
-	if d.steadyDemand(now) > overloadFactor*d.capacity.speed {
-		limit = time.Duration(longQueuePart * float64(c.slack(now, d, j, j.objective)))
+	part := shortQueuePart
+	if d.recentDemand(now) > overloadFactor*d.capacity.speed {
+		part = longQueuePart
 	}
-	limit = max(limit, minWaitLimit)
+	limit := max(time.Duration(part*float64(c.slack(now, d, j))), minWaitLimit)
 	if wait <= limit {
 		j.demand.waiting += c.pendingWork(j)
 		return true
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -22,19 +22,19 @@
 	return h
 }
 
-// TestSteadyOverloadRejectsWhatCanOnlyBeLate guards against a queue in which all jobs are
+// TestJobThatWouldWaitTooLongIsRejectedAtOnce guards against a queue in which all jobs are
 // late: a job was only rejected if it could not end before its cutoff, three times its
-// objective. A short excess of the demand rejects nothing that can end before that.
-func TestSteadyOverloadRejectsWhatCanOnlyBeLate(t *testing.T) {
+// objective.
+func TestJobThatWouldWaitTooLongIsRejectedAtOnce(t *testing.T) {
 	h := newRankedHarness(t, 2)
-	for i := range 8 {
+	for i := range 4 {
 		h.submit(job("j"+strconv.Itoa(i), 1, 1, time.Second))
 	}
 	h.wantStarts("a", 2)
-	h.wantOutcome("j6", "")            // 3.5 s of work for each slot is worked off
-	h.wantOutcome("j7", work.Rejected) // 4 s exceed the capacity of 3 s by a quarter
-	if h.outcomes["j7"].RetryAfter < 2500*time.Millisecond {
-		t.Errorf("retry after %v, want at least the wait of 2.5s", h.outcomes["j7"].RetryAfter)
+	h.wantOutcome("j2", "")            // nothing waits before it
+	h.wantOutcome("j3", work.Rejected) // it would wait for 0.5 s of the 0.66 s that it has left
+	if h.outcomes["j3"].RetryAfter < 500*time.Millisecond {
+		t.Errorf("retry after %v, want at least the wait of 500ms", h.outcomes["j3"].RetryAfter)
 	}
 }
 
@@ -99,7 +99,7 @@
 		h.submit(job("j"+strconv.Itoa(i), 1, 1, time.Second))
 	}
 	shortest, longest := time.Hour, time.Duration(0)
-	for i := 3; i < 40; i++ {
+	for i := 2; i < 40; i++ {
 		h.wantOutcome("j"+strconv.Itoa(i), work.Rejected)
 		retry := h.outcomes["j"+strconv.Itoa(i)].RetryAfter
 		shortest, longest = min(shortest, retry), max(longest, retry)
