Start slowly on workers that are cold

Callers: the platform bounds the new runs that a worker may get while it is cold after its start, and slows their runs down beyond that. A data centre that is returned to service is cold as a whole. Its workers are free, so the home filled them at once: in the replay of schedule/coldstart_test.go the starts exceed the bound without this change.

Cause: the time for which a worker is cold, and the figures of its service, were not read.

Change: a heartbeat's coldLeftMs reaches the home in the agent's report, coldStartS and coldPerS of the configuration's services with each job's queue (as the queue's other figures do), coldOverage and coldSlack from the settings. All fields are additions. The decision is schedule/coldstart.go: a token bucket for each cold worker, whose rate rises from coldPerS to coldPerS times coldOverage while the worker warms up, and which holds half of coldSlack, so that a change of the home stays within the bound. A worker without a token is treated like one in backoff; rejection and Delay count the work that cold workers may take up. Runs are expected to take longer on a cold worker only as ends of such runs show, which leave its slowness when warm unchanged. Where a field is 0 or missing, all of it is off.

Not tested with real processes; packages failure and platform/standin were not run on this change.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -26,7 +26,7 @@
 	if !j.Lasts && j.Times == 0 && c.needsEvacuated(now, j, capacity) {
 		return reasonEvacuated, defaultRetry
 	}
-	if capacity.speed == 0 {
+	if capacity.speed == 0 && len(capacity.cold) == 0 {
 		return reasonNoWorkers, defaultRetry
 	}
 	if isNew && c.queued > c.cfg.MaxQueued {
@@ -39,7 +39,7 @@
 	}
 	delay := time.Duration(0)
 	if isNew && now.After(c.startupUntil) {
-		delay = time.Duration(c.workAhead(j) / capacity.speed * float64(time.Millisecond))
+		delay = time.Duration(c.workAhead(j) / c.speedFor(j, capacity) * float64(time.Millisecond))
 	}
 	if s := j.sealing; s != nil && (!s.Complete || s.Silent) {
 		delay = max(delay, s.RunsEndAt.Sub(now))
@@ -62,6 +62,7 @@
 	speed       float64   // total CPU in thousandths of a core, scaled to slowness 1
 	maxCapacity work.Room // largest of each resource on any worker
 	minSlowness float64   // of the fastest worker
+	cold        []*target // usable workers that are cold; not in speed
 	evacuated   int       // number of evacuated workers, which count for nothing else
 	others      int       // number of other workers that have not left
 }
@@ -70,6 +71,7 @@
 	capacity := &serviceCapacity{minSlowness: math.Inf(1)}
 	for _, name := range c.agentNames {
 		t := c.targets[name]
+		c.refreshCold(now, t)
 		if t.Service != service {
 			continue
 		}
@@ -81,7 +83,11 @@
 		if !c.isUsable(now, t) {
 			continue
 		}
-		capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		if t.cold.active {
+			capacity.cold = append(capacity.cold, t)
+		} else {
+			capacity.speed += float64(t.Capacity.CPU) / t.slowness()
+		}
 		capacity.minSlowness = min(capacity.minSlowness, t.slowness())
 		capacity.maxCapacity.CPU = max(capacity.maxCapacity.CPU, t.Capacity.CPU)
 		capacity.maxCapacity.Memory = max(capacity.maxCapacity.Memory, t.Capacity.Memory)
@@ -90,6 +96,19 @@
 	return capacity
 }
 
+// speedFor returns the speed at which the workers take up work like that of a job, of which cold
+// workers take only so many runs.
+func (c *Core) speedFor(j *job, capacity *serviceCapacity) float64 {
+	if len(capacity.cold) == 0 {
+		return capacity.speed
+	}
+	speed, runWork := capacity.speed, float64(j.Step(0).Room.CPU)*ms(c.expectedTime(j, 0))
+	for _, t := range capacity.cold {
+		speed += t.coldSpeed(runWork)
+	}
+	return max(speed, 1)
+}
+
 // workAhead returns the work that waits before a job, in thousandths of a core times
 // milliseconds, at slowness 1.
 func (c *Core) workAhead(j *job) float64 {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -60,6 +60,9 @@
 	// MaxSealingAgents is the number of agents up to which they are asked to seal a job. A
 	// lost home may have had hundreds of jobs, and each agent is asked about each of them.
 	MaxSealingAgents int
+	// A cold worker gets at most ColdOverage times its service's rate of new runs, plus ColdSlack in
+	// any span. Slow start is off if one of them is 0.
+	ColdOverage, ColdSlack float64
 }
 
 // Core is the state of a home. NewCore makes one.
@@ -71,15 +74,16 @@
 	waiting        []*job // have tasks to place; in the order in which they are served
 	queued         int    // pending tasks of all jobs
 	outcomes       map[string]work.Outcome
-	outcomeOrder   []string         // keys of outcomes, oldest first
-	sentJobs       map[string]bool  // jobs that were answered without a result after a task of them was sent
-	sentOrder      []string         // keys of sentJobs, oldest first
-	biases         map[string]*bias // by queue
-	startupUntil   time.Time        // until then more workers are expected to make contact
-	lastKindUpdate time.Time        // when the mean slowness of each kind of worker was computed
-	timed          []*job           // have occurrences that are not due yet
-	withdrawn      []withdrawal     // by stopAt
-	sealing        []*job           // are not placed before agents have sealed them
+	outcomeOrder   []string               // keys of outcomes, oldest first
+	sentJobs       map[string]bool        // jobs that were answered without a result after a task of them was sent
+	sentOrder      []string               // keys of sentJobs, oldest first
+	biases         map[string]*bias       // by queue
+	cold           map[string]coldFigures // by service
+	startupUntil   time.Time              // until then more workers are expected to make contact
+	lastKindUpdate time.Time              // when the mean slowness of each kind of worker was computed
+	timed          []*job                 // have occurrences that are not due yet
+	withdrawn      []withdrawal           // by stopAt
+	sealing        []*job                 // are not placed before agents have sealed them
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
 	evacuated      evacuation.Set
@@ -91,7 +95,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias),
+		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), cold: make(map[string]coldFigures),
 	}
 }
 
@@ -160,7 +164,7 @@
 	}
 	for _, name := range c.agentNames {
 		if t := c.targets[name]; c.isUsable(now, t) {
-			speed += float64(t.Capacity.CPU) / t.slowness()
+			speed += t.coldSpeed(ahead / float64(max(c.queued, 1)))
 		}
 	}
 	return time.Duration(min(ahead/max(speed, 1), ms(maxDelay)) * float64(time.Millisecond))
@@ -196,6 +200,7 @@
 		c.reattach(now, j, h)
 		return
 	}
+	c.learnCold(now, &w.Queue)
 	j := newJob(now, w, runNumberBase)
 	j.cutoff = c.cutoff(j)
 	if end := now.Add(w.Left); end.Before(j.cutoff) {
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -17,22 +17,23 @@
 
 // harness simulates the agents and the entries around a Core.
 type harness struct {
-	t        *testing.T
-	c        *schedule.Core
-	now      time.Time
-	seq      map[string]uint64
-	starts   map[string][]work.Run
-	stops    map[string][]work.Run
-	seals    map[string][]worker.Seal
-	outcomes map[string]work.Outcome
-	agents   map[string]work.Target
+	t         *testing.T
+	c         *schedule.Core
+	now       time.Time
+	seq       map[string]uint64
+	starts    map[string][]work.Run
+	stops     map[string][]work.Run
+	seals     map[string][]worker.Seal
+	outcomes  map[string]work.Outcome
+	agents    map[string]work.Target
+	coldUntil map[string]time.Time // by agent; its worker is cold until then
 }
 
 func newHarness(t *testing.T) *harness {
 	return &harness{
 		t: t, c: schedule.NewCore(cfg), now: time.Unix(1000, 0), seq: make(map[string]uint64),
 		starts: make(map[string][]work.Run), stops: make(map[string][]work.Run), seals: make(map[string][]worker.Seal),
-		outcomes: make(map[string]work.Outcome), agents: make(map[string]work.Target),
+		outcomes: make(map[string]work.Outcome), agents: make(map[string]work.Target), coldUntil: make(map[string]time.Time),
 	}
 }
 
@@ -48,7 +49,7 @@
 		h.seq[name]++
 		events[i].Seq = h.seq[name]
 	}
-	h.c.Report(h.now, name, &schedule.Report{Life: "1", Target: h.agents[name], Ready: true, Settled: true, Events: events})
+	h.c.Report(h.now, name, &schedule.Report{Life: "1", Target: h.agents[name], Ready: true, Settled: true, Events: events, ColdLeft: max(h.coldUntil[name].Sub(h.now), 0)})
 	h.collect()
 }
 
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -57,6 +57,7 @@
 	startedAt  time.Time
 	expected   time.Duration
 	slowdown   float64 // of the worker when the task was placed
+	wasCold    bool    // the worker was cold when the task was placed
 	stopping   bool
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -75,7 +75,8 @@
 	var open []*target
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if c.isUsable(now, t) && now.After(t.backoffUntil) {
+		c.refreshCold(now, t)
+		if c.isUsable(now, t) && now.After(t.backoffUntil) && t.mayStart() {
 			open = append(open, t)
 		}
 	}
@@ -140,10 +141,12 @@
 			break
 		}
 		t.used = t.used.Add(j.Step(slot).Room)
+		t.cold.tokens--
 		chosen = append(chosen, t)
 	}
 	for _, t := range chosen {
 		t.used = t.used.Sub(j.Step(slot).Room)
+		t.cold.tokens++
 	}
 	if len(chosen) < len(j.tasks[slot]) {
 		return
@@ -164,7 +167,7 @@
 	var bestTime, fastestTime time.Duration
 	worthWaiting := false
 	for _, t := range open {
-		if !c.isEligible(j, slot, t) {
+		if !t.mayStart() || !c.isEligible(j, slot, t) {
 			continue
 		}
 		expected := time.Duration(float64(baseTime) * t.slowness() * c.distanceFactor(step, t))
@@ -269,6 +272,7 @@
 	run := j.currentRun(slot, index)
 	run.Number = number
 	tk := c.placeRun(now, t, j, run)
+	t.cold.tokens--
 	step := j.Step(slot)
 	if c.decisions.Starts == nil {
 		c.decisions.Starts = make(map[string][]work.Start)
@@ -286,7 +290,7 @@
 	step := j.Step(slot)
 	tk := &j.tasks[slot][run.Task.Index]
 	tk.state, tk.runNumber, tk.agent, tk.startedAt = placed, run.Number, t.agent, startedAt
-	tk.slowdown = t.slowdown
+	tk.slowdown, tk.wasCold = t.slowdown, t.cold.active
 	tk.expected = time.Duration(float64(c.expectedTime(j, slot)) * t.slowness() * c.distanceFactor(step, t))
 	j.pending--
 	c.queued--
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -24,6 +24,8 @@
 	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
 	// Evacuated is set if the agent refuses starts because its data centre is evacuated.
 	Evacuated bool
+	// ColdLeft is how much longer the worker is slow after its start.
+	ColdLeft time.Duration
 }
 
 // Event reports how a run ended.
@@ -73,11 +75,13 @@
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
+		t.cold.logRatio, t.cold.ratio = movingMean{}, 1
 		t.logSlowness, t.consecutiveFailures = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}, 0
 		t.updateSlowness()
 	}
 	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
 	t.Target, t.ready, t.usedByOthers, t.saysEvacuated, t.lastContact = r.Target, r.Ready, r.Others, r.Evacuated, now
+	c.reportCold(now, t, r.ColdLeft)
 	changed = c.adopt(now, t, r) || changed
 	for _, e := range r.Events {
 		if e.Seq > t.lastSeq {
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -25,7 +25,7 @@
 // slowness returns the current run time on the worker as a multiple of the estimate,
 // which is corrected by the bias of the queue and by distanceFactor. A worker of
 // slowness 1 takes as long as that.
-func (t *target) slowness() float64 { return t.baseSlowness * t.slowdown }
+func (t *target) slowness() float64 { return t.baseSlowness * t.slowdown * t.cold.slowness() }
 
 // updateSlowness computes the base slowness from the worker's own runs and its kind.
 // A worker with few runs so far counts like the others of its kind.
@@ -63,7 +63,7 @@
 
 // recordRunTime updates the slowness of a worker and the bias of a queue by the run
 // time of a task that was done. A temporary slowdown is left out of the slowness.
-func (c *Core) recordRunTime(t *target, j *job, slot int, took time.Duration) {
+func (c *Core) recordRunTime(t *target, j *job, slot, index int, took time.Duration) {
 	t.consecutiveFailures = 0
 	est := j.Step(slot).Estimate
 	if est <= 0 || took <= 0 {
@@ -71,6 +71,10 @@
 	}
 	ratio := math.Log(float64(took) / float64(est) / c.distanceFactor(j.Step(slot), t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
+	if j.tasks[slot][index].wasCold {
+		t.recordCold(ratio - b.value)
+		return
+	}
 	t.logSlowness.add(ratio-b.value, slownessWindow)
 	t.updateSlowness()
 	b.add(ratio-t.logSlowness.value, biasWindow)
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -100,6 +100,7 @@
 	if _, ok := c.jobs[w.ID]; ok {
 		return
 	}
+	c.learnCold(now, &w.Queue)
 	j := newJob(now, w, runNumberBase)
 	j.cutoff = c.cutoff(j)
 	for slot, indices := range finished {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -30,7 +30,8 @@
 	consecutiveFailures int        // runs that failed or stalled
 	backoffUntil        time.Time  // no task is placed before
 	confirmedEpoch      uint64     // of the tenure that the agent has confirmed; 0 for none
-	uncommitted         []uint64   // sequence numbers of events that the agent must not discard yet
+	cold                coldWorker
+	uncommitted         []uint64 // sequence numbers of events that the agent must not discard yet
 }
 
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.usedByOthers) }
--- a/site/agent.go
+++ b/site/agent.go
@@ -165,6 +165,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before, known := a.guard.Target()
+	if a.node.ColdOverage <= 0 || a.node.ColdSlack <= 0 {
+		rep.Target.ColdLeft = 0
+	}
+	wasCold := a.guard.ColdLeft(a.now()) > 0
 	if !rep.Leaving && a.node.Service != "" && rep.Target.Service != a.node.Service {
 		a.log.Warn().Str("worker", rep.Target.ID).Str("service", rep.Target.Service).Msg("heartbeat of another service ignored")
 		return
@@ -183,7 +187,7 @@
 			go a.poll(0)
 		}
 	}
-	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born || a.evacuations.isActive && after.Zone != before.Zone {
+	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born || !wasCold && a.guard.ColdLeft(a.now()) > 0 || a.evacuations.isActive && after.Zone != before.Zone {
 		a.targetChanged()
 		go a.poll(0)
 	}
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -112,5 +112,6 @@
 func (a *Agent) reportFor(home string, acked uint64) schedule.Report {
 	r := schedule.ReportOf(a.guard, home, acked)
 	r.Life, r.Ready = a.life, r.Ready && !a.leaving
+	r.ColdLeft = a.guard.ColdLeft(a.now())
 	return r
 }
--- a/site/site.go
+++ b/site/site.go
@@ -161,7 +161,7 @@
 func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
 		SuspectAfter: suspectAfter, SuspectIdleAfter: suspectIdleAfter, RunsLostAfter: runsLostAfter, StoredRunsLostAfter: storedRunsLostAfter, RemoteFactor: n.RemoteFactor, CutoffFactor: 3, Margin: 5 * time.Millisecond,
-		MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents,
+		MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents, ColdOverage: n.ColdOverage, ColdSlack: n.ColdSlack,
 	}
 }
 
--- a/work/work.go
+++ b/work/work.go
@@ -75,6 +75,10 @@
 	MaxAttempts int           `json:"maxAttempts"`        // failed runs of a task after which its job fails
 	Stretch     float64       `json:"stretch,omitempty"`  // factor of the chain in Objective; 1 if less
 	Target      time.Duration `json:"target,omitempty"`   // constant part of Objective
+	// ColdStart is how long a worker of the service is slow after its start, and ColdRate the most
+	// new runs per second that it takes then without being slowed; 0 if there is no slow start.
+	ColdStart time.Duration `json:"coldStart,omitempty"`
+	ColdRate  float64       `json:"coldRate,omitempty"`
 }
 
 // Objective returns the soft deadline of a job, counted from its submission, when its
@@ -250,4 +254,6 @@
 	Labels   []string
 	Capacity Room
 	Draining bool
+	// ColdLeft is how much longer the worker is slow after its start, counted from this description.
+	ColdLeft time.Duration
 }
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -43,6 +43,14 @@
 	g.target, g.hasTarget, g.leaving, g.describedAt = t, true, false, now
 }
 
+// ColdLeft returns how much longer the worker is slow after its start.
+func (g *Guard) ColdLeft(now time.Time) time.Duration {
+	if g.target.ColdLeft == 0 {
+		return 0
+	}
+	return max(g.target.ColdLeft-now.Sub(g.describedAt), 0)
+}
+
 // descriptionMaxAge is the time without a heartbeat under the worker's ID after which one
 // under another ID describes the worker; several times the interval between heartbeats.
 const descriptionMaxAge = 5 * time.Second
--- a/worker/heartbeat_test.go
+++ b/worker/heartbeat_test.go
@@ -93,3 +93,18 @@
 		t.Errorf("target %+v, known %t", target, ok)
 	}
 }
+
+// TestColdTimeRunsOutBetweenHeartbeats guards against a worker that counts as cold for longer than
+// it is, as its last heartbeat is old.
+func TestColdTimeRunsOutBetweenHeartbeats(t *testing.T) {
+	g, now := worker.NewGuard(cfg), time.Unix(1000, 0)
+	if left := g.ColdLeft(now); left != 0 {
+		t.Errorf("cold for %v before a heartbeat", left)
+	}
+	g.TakeHeartbeat(now, work.Target{ID: "w", Born: 7, Service: "s", ColdLeft: 2 * time.Second}, time.Second)
+	for after, want := range map[time.Duration]time.Duration{0: 2 * time.Second, 500 * time.Millisecond: 1500 * time.Millisecond, 3 * time.Second: 0} {
+		if left := g.ColdLeft(now.Add(after)); left != want {
+			t.Errorf("cold for %v after %v, want %v", left, after, want)
+		}
+	}
+}
