--- a/schedule/job.go
+++ b/schedule/job.go
@@ -59,6 +59,7 @@
 	startedAt  time.Time
 	expected   time.Duration
 	slowdown   float64 // of the worker when the task was placed
+	wasCold    bool    // the worker was cold when the task was placed
 	stopping   bool
 	near       bool    // its worker is in the rack of its affinity
 	freed      float64 // its part of target.freed
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -27,6 +27,8 @@
 	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set.
 	LeavesIn   time.Duration
 	KnowsLeave bool
+	// ColdLeft is how much longer the worker is slow after its start.
+	ColdLeft time.Duration
 }
 
 // Event reports how a run ended.
@@ -72,6 +74,7 @@
 	}
 	if t.Born != r.Target.Born {
 		t.slowdown = 1
+		t.cold.logRatio, t.cold.ratio = movingMean{}, 1
 		t.logSlowness = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}
 		c.recordIncarnation(now, t, &r.Target)
 		t.updateSlowness()
@@ -82,6 +85,7 @@
 	if moved {
 		c.assignRack(t)
 	}
+	c.reportCold(now, t, r.ColdLeft)
 	changed = c.adopt(now, t, r) || changed
 	for _, e := range r.Events {
 		if e.Seq > t.lastSeq {
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -25,7 +25,7 @@
 // slowness returns the current run time on the worker as a multiple of the estimate,
 // which is corrected by the bias of the queue and by distanceFactor. A worker of
 // slowness 1 takes as long as that.
-func (t *target) slowness() float64 { return t.baseSlowness * t.slowdown }
+func (t *target) slowness() float64 { return t.baseSlowness * t.slowdown * t.cold.slowness() }
 
 // updateSlowness computes the base slowness from the worker's own runs and its kind.
 // A worker with few runs so far counts like the others of its kind.
@@ -64,17 +64,21 @@
 // recordRunTime updates the slowness of a worker and the bias of a queue by the run
 // time of a task that was done on a worker which had a slowdown when the task was placed.
 // A temporary slowdown is left out of the slowness.
-func (c *Core) recordRunTime(now time.Time, t *target, j *job, slot int, took time.Duration, slowdown float64) {
+func (c *Core) recordRunTime(now time.Time, t *target, j *job, slot, index int, took time.Duration) {
 	est := j.Step(slot).Estimate
 	if est <= 0 || took <= 0 {
 		return
 	}
 	ratio := math.Log(float64(took) / float64(est) / c.distanceFactor(j.Step(slot), t) / t.slowdown)
 	b := c.queueBias(j.Queue.Name)
+	if j.tasks[slot][index].wasCold {
+		t.recordCold(ratio - b.value)
+		return
+	}
 	// On a worker under suspicion, only runs that end as expected tell a tail from a slow
 	// worker. The slowdown is that of the placement, so that it doesn't hide a tail.
 	if !now.Before(t.suspectUntil) || t.normalEnds.countRecent(now) > 0 {
-		b.ratios.add(math.Exp(ratio-b.value) * t.slowdown / slowdown / t.baseSlowness)
+		b.ratios.add(math.Exp(ratio-b.value) * t.slowdown / j.tasks[slot][index].slowdown / t.baseSlowness)
 	}
 	t.logSlowness.add(t.logSlowness.bound(ratio-b.value), slownessWindow)
 	t.updateSlowness()
