--- a/bench/pattern.go
+++ b/bench/pattern.go
@@ -28,6 +28,7 @@
 	Queues       []PatternQueue  `toml:"queues"`
 	Events       []PatternEvent  `toml:"events"`
 	Zones        []PatternZone   `toml:"zones"`    // of the callers; one if empty
+	ShedLoad     bool            `toml:"shedLoad"` // as in schedule.Config
 	MinWorth     float64         `toml:"minWorth"` // the least worth that tests accept; 0.70 if zero
 	Score        *PatternScore   `toml:"score"`    // how the result is weighed; as at Retour-Plateau if nil
 }
--- a/bench/replay_home.go
+++ b/bench/replay_home.go
@@ -26,11 +26,17 @@
 	var homes []*modelHome
 	for i := range max(p.Homes, 1) {
 		name := fmt.Sprint("home", i)
-		homes = append(homes, &modelHome{member: roster.Member{Name: name, Address: name}, name: name, node: node, core: schedule.NewCore(site.HomeConfig(node))})
+		homes = append(homes, &modelHome{member: roster.Member{Name: name, Address: name}, name: name, node: node, core: newModelCore(p, node)})
 	}
 	return homes
 }
 
+func newModelCore(p *Pattern, node *platform.Node) *schedule.Core {
+	cfg := site.HomeConfig(node)
+	cfg.ShedLoad = p.ShedLoad
+	return schedule.NewCore(cfg)
+}
+
 // members returns the descriptions of the homes.
 func (r *replay) members() (ms []roster.Member) {
 	for _, h := range r.homes {
@@ -128,7 +134,7 @@
 func (r *replay) loseHome(h *modelHome) {
 	h.down = true
 	r.clock.after(takeoverTime, func() {
-		h.down, h.name, h.core = false, h.name+"'", schedule.NewCore(site.HomeConfig(h.node))
+		h.down, h.name, h.core = false, h.name+"'", newModelCore(r.pattern, h.node)
 		for _, w := range r.workers {
 			if w.home == h {
 				r.sendReport(w)
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -21,7 +21,7 @@
 	var best, reserved, spare, outside, fastest choice
 	worthWaiting, nearFree := false, false
 	for _, t := range open {
-		if !c.isEligible(j, slot, t) || !c.isTrustedWith(now, j, slot, t) {
+		if !t.mayStart() || !c.isEligible(j, slot, t) || !c.isTrustedWith(now, j, slot, t) {
 			continue
 		}
 		distance := c.distanceFactor(step, t)
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -11,6 +11,7 @@
 // thousandths of a core times milliseconds at slowness 1, so that a rate of work is a
 // number of thousandths of a core.
 type serviceDemand struct {
+	shedsLoad    bool           // as in Config.ShedLoad
 	queues       []*queueDemand // by priority
 	byName       map[string]*queueDemand
 	capacity     *serviceCapacity
@@ -69,7 +70,7 @@
 func (c *Core) demandOf(now time.Time, service string) *serviceDemand {
 	d, ok := c.demand[service]
 	if !ok {
-		d = &serviceDemand{byName: make(map[string]*queueDemand)}
+		d = &serviceDemand{shedsLoad: c.cfg.ShedLoad, byName: make(map[string]*queueDemand)}
 		c.demand[service] = d
 	}
 	if d.capacity == nil || now.Sub(d.measuredAt) >= measureInterval {
@@ -147,9 +148,10 @@
 	return sum
 }
 
-// ranked reports whether the queues of the service differ in priority.
+// ranked reports whether the rules for overload apply: they are turned on, and the queues of
+// the service differ in priority.
 func (d *serviceDemand) ranked() bool {
-	return len(d.queues) > 1 && d.queues[0].priority != d.queues[len(d.queues)-1].priority
+	return d.shedsLoad && len(d.queues) > 1 && d.queues[0].priority != d.queues[len(d.queues)-1].priority
 }
 
 // meanSlowness returns the mean slowness of the service's capacity.
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -61,7 +61,7 @@
 	case e.End == work.Done:
 		c.recordDone(now, t, j, e.Run)
 		t.normalEnds.add(now, e.Took, tk.expected)
-		c.recordRunTime(now, t, j, slot, e.Took, tk.slowdown)
+		c.recordRunTime(now, t, j, slot, index, e.Took)
 		c.finishTask(now, j, slot, index)
 	case e.End == work.Failed:
 		c.failTask(now, t, j, slot, index)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -64,6 +64,7 @@
 	expected   time.Duration
 	slowdown   float64 // of the worker when the task was placed
 	speed      float64 // of the worker's capacity that its run uses
+	wasCold    bool    // the worker was cold when the task was placed
 	stopping   bool
 	near       bool    // its worker is in the rack of its affinity
 	freed      float64 // its part of target.freed
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// The rules for overload. They apply to services whose queues differ in priority, and
-// have no effect while jobs do not wait.
+// The rules for overload. They apply if Config.ShedLoad is set, to services whose queues
+// differ in priority, and have no effect while jobs do not wait.
 //
 //   - A new job is rejected if the predicted wait in its queue leaves it no time to meet
 //     its objective. So the jobs that are accepted are in time, and the others know at once.
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -5,13 +5,23 @@
 	"testing"
 	"time"
 
+	"masticbay/schedule"
 	"masticbay/work"
 )
 
+// newSheddingHarness returns a harness whose home applies the rules for overload.
+func newSheddingHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	shedding := cfg
+	shedding.ShedLoad = true
+	h.c = schedule.NewCore(shedding)
+	return h
+}
+
 // newRankedHarness returns a harness with a worker, past its start-up time, whose service has
 // two queues of different priority.
 func newRankedHarness(t *testing.T, slots int) *harness {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("a", slots)
 	h.advance(500 * time.Millisecond)
 	for priority := range 2 {
@@ -41,7 +51,7 @@
 // TestOnePriorityIsServedAsBefore guards the rule that the policy only applies to services
 // whose queues differ in priority.
 func TestOnePriorityIsServedAsBefore(t *testing.T) {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("a", 2)
 	h.advance(500 * time.Millisecond)
 	for i := range 4 {
@@ -53,7 +63,7 @@
 // TestQueueOfLowestPriorityGetsItsGuarantee guards against starvation: a queue of a higher
 // priority that always has jobs waiting took all of the capacity.
 func TestQueueOfLowestPriorityGetsItsGuarantee(t *testing.T) {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("a", 10) // its start-up time lets all of the jobs wait
 	for i := range 40 {
 		h.submit(job("high"+strconv.Itoa(i), 0, 1, 200*time.Millisecond))
@@ -77,7 +87,7 @@
 // TestLateJobWaitsBehindOneThatCanBeInTime guards against a job that can only be late taking
 // the capacity of one that would be in time, by its priority.
 func TestLateJobWaitsBehindOneThatCanBeInTime(t *testing.T) {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("a", 1)
 	h.submit(job("busy", 0, 1, 300*time.Millisecond))
 	h.submit(job("late", 0, 1, 60*time.Millisecond)) // objective 156 ms
@@ -113,7 +123,7 @@
 // waiting jobs: many jobs of one rack that do not take the free capacity must not keep it
 // from jobs that do.
 func TestWaitingJobsOfOneRackDoNotHoldBackOthers(t *testing.T) {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("near", 1, "a", "r1")
 	h.addAgent("far", 2, "a", "r2")
 	for i := range 60 {
@@ -141,7 +151,7 @@
 // TestJobsThatAvoidAWorkerDoNotHoldBackOthers guards the same bound against jobs that do not
 // take the free capacity for a reason of their own: a run of each has failed there.
 func TestJobsThatAvoidAWorkerDoNotHoldBackOthers(t *testing.T) {
-	h := newHarness(t)
+	h := newSheddingHarness(t)
 	h.addAgent("bad", 50)
 	for i := range 50 {
 		h.submit(job("j"+strconv.Itoa(i), 0, 1, 300*time.Millisecond))
@@ -157,3 +167,18 @@
 	h.submit(job("new", 0, 1, 300*time.Millisecond))
 	h.wantStarts("bad", before+1)
 }
+
+// TestLoadIsShedOnlyWhereTurnedOn guards sites that count the share of jobs that are served:
+// there a late answer is better than a rejection.
+func TestLoadIsShedOnlyWhereTurnedOn(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 2)
+	h.advance(500 * time.Millisecond)
+	for priority := range 2 {
+		h.submit(job("first"+strconv.Itoa(priority), priority, 1, time.Millisecond))
+	}
+	for i := range 8 {
+		h.submit(job("j"+strconv.Itoa(i), 1, 1, time.Second))
+	}
+	h.wantOutcome("j7", "")
+}
--- a/site/entry.go
+++ b/site/entry.go
@@ -34,6 +34,8 @@
 	// CellSize is the number of agents for which one home places tasks;
 	// defaultCellSize if zero.
 	CellSize int
+	// ShedLoad is as in schedule.Config.
+	ShedLoad bool
 	// Network carries the connections to and from other processes; TCP if nil.
 	Network wire.Network
 }
@@ -56,6 +58,7 @@
 	metrics        *entryMetrics
 	network        wire.Network
 	cellSize       int // agents
+	shedLoad       bool
 	stop           chan struct{}
 	home           *home
 	knownEntries   entryList
@@ -95,7 +98,7 @@
 	}
 	e = &Entry{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store, dialOf(o.Network)), network: wire.OrTCP(o.Network), metrics: newEntryMetrics(),
-		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), stamps: make(map[string]peerStamp), fetching: make(map[string]bool), fetchingEvacuated: make(map[string]bool),
+		cellSize: cmp.Or(o.CellSize, defaultCellSize), shedLoad: o.ShedLoad, stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), stamps: make(map[string]peerStamp), fetching: make(map[string]bool), fetchingEvacuated: make(map[string]bool),
 		sessions: make(map[string]uint64), jobsAt: make(map[string]int),
 	}
 	e.startedAt = e.now()
--- a/site/home.go
+++ b/site/home.go
@@ -98,8 +98,10 @@
 }
 
 func newHome(e *Entry) *home {
+	cfg := HomeConfig(e.node)
+	cfg.ShedLoad = e.shedLoad
 	h := &home{
-		e: e, log: e.requestLog, wakeup: make(chan struct{}, 1), core: schedule.NewCore(HomeConfig(e.node)),
+		e: e, log: e.requestLog, wakeup: make(chan struct{}, 1), core: schedule.NewCore(cfg),
 		waiters: make(map[string][]*waiter), links: make(map[string]*link), entries: make(map[string]entryContact), withdrawnCalls: make(map[entryCall]time.Time),
 		storedJobs: storedJobs{
 			ledgerWakeup: make(chan struct{}, 1), route: newStoreRoute(e), ledger: ledger.New(ledgerConfig(e.node), e.life),
