Keep kinds of task that slow each other down apart

Callers saw tasks run longer beside tasks of certain other queues, also while other workers had room, since placement knew only the slowness of the worker.

The home now samples which kinds run beside a task at its start and end, and gives the runs of each step to package interference. chooseTarget prefers workers in time without interference, then those on which it makes no job late. It changes which worker is chosen, never whether a task is placed; with no pair found the choice is as before.

Each placement and end also looks up the jobs that run on the worker; its cost was not measured.

--- a/interference/interference.go
+++ b/interference/interference.go
@@ -135,16 +135,23 @@
 
 // Concerns reports whether a kind is part of a found pair.
 func (d *Detector) Concerns(kind string) bool {
+	if d.found == 0 {
+		return false
+	}
 	id, ok := d.ids[kind]
-	return ok && d.found > 0 && d.slowedBy[id]|d.slows[id] != 0
+	return ok && d.slowedBy[id]|d.slows[id] != 0
 }
 
 // Factor returns by how much a kind runs longer beside others.
 func (d *Detector) Factor(kind string, beside Set) float64 {
-	if id, ok := d.ids[kind]; ok && d.found > 0 {
-		return math.Exp(d.logFactor(id, beside))
+	if d.found == 0 {
+		return 1
+	}
+	id, ok := d.ids[kind]
+	if !ok {
+		return 1
 	}
-	return 1
+	return math.Exp(d.logFactor(id, beside))
 }
 
 func (d *Detector) logFactor(kind int, beside Set) (sum float64) {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"masticbay/evacuation"
+	"masticbay/interference"
 	"masticbay/work"
 	"masticbay/worker"
 )
@@ -84,6 +85,7 @@
 	highestEpoch   uint64 // of all tenures so far
 	evacuated      evacuation.Set
 	placementHeld  bool // until the evacuated data centres are known
+	pairs          *interference.Detector
 	decisions      Decisions
 }
 
@@ -92,6 +94,7 @@
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
 		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias),
+		pairs: interference.NewDetector(),
 	}
 }
 
@@ -264,6 +267,7 @@
 	if now.Sub(c.lastKindUpdate) > kindUpdateInterval {
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
+		c.notePairs(c.pairs.Expire(now))
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -60,6 +60,7 @@
 		c.restartTask(now, t, j, slot, index, e.End)
 	case e.End == work.Done:
 		t.normalEnds.add(now, e.Took, tk.expected)
+		c.recordBeside(now, t, j, slot, index, e.Took)
 		c.recordRunTime(t, j, slot, e.Took)
 		c.finishTask(now, j, slot, index)
 	case e.End == work.Failed:
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticbay/interference"
 	"masticbay/work"
 )
 
@@ -26,8 +27,9 @@
 	sealing        *sealing        // set until no such run is left
 	avoid          map[string]bool // agents where a run failed or stalled
 	firstPlacedAt  time.Time
-	requeues       int      // runs that did not end as done
-	lastRun        runTimes // the run that ended last
+	requeues       int                        // runs that did not end as done
+	lastRun        runTimes                   // the run that ended last
+	doneRuns       map[int][]interference.Run // by slot that is not done, for the evidence on interference
 }
 
 // runTimes tells where and for how long a run waited and ran.
@@ -56,7 +58,8 @@
 	agent      string
 	startedAt  time.Time
 	expected   time.Duration
-	slowdown   float64 // of the worker when the task was placed
+	slowdown   float64          // of the worker when the task was placed
+	beside     interference.Set // kinds that ran on the worker when the task was placed
 	stopping   bool
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -156,12 +156,14 @@
 // chooseTarget returns the slowest worker with free capacity that still meets the
 // objective. If only workers without free capacity meet it, chooseTarget returns
 // nil, and the task waits for one of them while that can still be in time.
-// Otherwise it returns the fastest worker with free capacity.
+// Otherwise it returns the fastest worker with free capacity. Kinds of task that slow
+// each other down change only which worker is returned, never whether there is one.
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
 	var best, fastest *target
 	var bestTime, fastestTime time.Duration
+	var bestConflict conflict
 	worthWaiting := false
 	for _, t := range open {
 		if !c.isEligible(j, slot, t) {
@@ -173,9 +175,11 @@
 			worthWaiting = worthWaiting || inTime
 			continue
 		}
-		if inTime && (best == nil || isBetter(expected, t, bestTime, best)) {
-			best, bestTime = t, expected
+		x := c.conflictOn(now, j, t, expected)
+		if inTime && (best == nil || x.isLess(bestConflict) || x == bestConflict && isBetter(expected, t, bestTime, best)) {
+			best, bestTime, bestConflict = t, expected, x
 		}
+		expected = x.stretch(expected)
 		if fastest == nil || expected < fastestTime {
 			fastest, fastestTime = t, expected
 		}
@@ -294,6 +298,7 @@
 	if !j.wasSent {
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
+	tk.beside = c.kindsOn(t)
 	t.runs[run.Task] = run
 	t.used = t.used.Add(step.Room)
 	return tk
--- a/site/entry.go
+++ b/site/entry.go
@@ -78,11 +78,13 @@
 	fetchingEvacuated map[string]bool
 	lastHome          string
 	// lastHomes are the homes of all cells at the last update, by their incarnations.
-	lastHomes   []string
-	sessions    map[string]uint64     // by address of a home; see RunArgs
-	jobsAt      map[string]int        // by address of a home: calls about jobs that are open there
-	homeReports map[string]homeReport // by address of a home
-	stamps      map[string]peerStamp  // by address of an entry
+	lastHomes          []string
+	sessions           map[string]uint64     // by address of a home; see RunArgs
+	jobsAt             map[string]int        // by address of a home: calls about jobs that are open there
+	homeReports        map[string]homeReport // by address of a home
+	sentPairs          map[string]sentPairs  // by address of a home that knows pairs
+	invalidPairsLogged bool
+	stamps             map[string]peerStamp // by address of an entry
 }
 
 // StartEntry starts an entry and its servers.
@@ -93,7 +95,7 @@
 	}
 	e = &Entry{
 		node: o.Node, log: o.Log, clock: o.Clock, life: identity.New("entry"), store: platform.NewStore(o.Node.Store, dialOf(o.Network)), network: wire.OrTCP(o.Network), metrics: newEntryMetrics(),
-		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), stamps: make(map[string]peerStamp), fetching: make(map[string]bool), fetchingEvacuated: make(map[string]bool),
+		cellSize: cmp.Or(o.CellSize, defaultCellSize), stop: make(chan struct{}), peers: make(map[string]*peer), agents: make(map[string]agentContact), lostAgents: make(map[string]time.Time), homeReports: make(map[string]homeReport), sentPairs: make(map[string]sentPairs), stamps: make(map[string]peerStamp), fetching: make(map[string]bool), fetchingEvacuated: make(map[string]bool),
 		sessions: make(map[string]uint64), jobsAt: make(map[string]int),
 	}
 	e.startedAt = e.now()
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -63,6 +63,7 @@
 	args.Evacuation = e.evacuations.mark()
 	if st := e.home.status.Load(); args.Member.Term > 0 || args.Member.Places {
 		args.Waiting, args.Delay, args.Vacant, args.StartRate = st.waiting, st.delay, st.vacant, st.startRate
+		args.Interference = st.pairs
 	}
 	return args
 }
@@ -87,6 +88,7 @@
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
+	e.recordPairs(g)
 	// An answer to a greeting that was sent after the known stamp was received has a later one,
 	// unless that was out of range.
 	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp || sentAt.After(known.receivedAt) {
--- a/site/home.go
+++ b/site/home.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"masticbay/interference"
 	"masticbay/ledger"
 	"masticbay/roster"
 	"masticbay/schedule"
@@ -64,11 +65,12 @@
 // homeStatus is what a home reports to other entries. It is not changed once it is
 // published, so that greetings need not wait for the home's decisions.
 type homeStatus struct {
-	waiting    map[string]int // by queue: jobs that have not started
-	delay      time.Duration  // how long a new job would wait
-	vacant     bool           // no job is stored on the site
-	storesJobs bool           // jobs are stored on the site, or are to be stored
-	startRate  float64        // tasks that this home starts each second
+	waiting    map[string]int      // by queue: jobs that have not started
+	delay      time.Duration       // how long a new job would wait
+	vacant     bool                // no job is stored on the site
+	storesJobs bool                // jobs are stored on the site, or are to be stored
+	startRate  float64             // tasks that this home starts each second
+	pairs      []interference.Pair // of kinds of task that slow each other down
 }
 
 // entryContact is the newest session of an entry that submits jobs to this home,
@@ -291,7 +293,11 @@
 	waiting, running := h.core.Load()
 	h.e.metrics.waiting.Update(float64(waiting))
 	h.e.metrics.running.Update(float64(running))
+	h.e.metrics.pairs.Update(float64(h.core.NumInterferingPairs()))
 	if now.Sub(h.lastLinkUpdate) >= linkUpdateInterval || isHome != h.wasHome {
+		if isHome && !h.wasHome {
+			h.importPairs(now)
+		}
 		h.lastLinkUpdate, h.wasHome = now, isHome
 		h.updateLinks(now, isHome, running)
 	}
@@ -302,7 +308,7 @@
 // publishStatus updates the status that is reported to other entries. The caller holds
 // mu.
 func (h *home) publishStatus(now time.Time) {
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), startRate: h.startRate.PerSecond(now)})
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs)})
 }
 
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
--- a/site/messages.go
+++ b/site/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"masticbay/evacuation"
+	"masticbay/interference"
 	"masticbay/roster"
 	"masticbay/schedule"
 	"masticbay/work"
@@ -101,6 +102,9 @@
 	StartRate float64
 	// Evacuation identifies the sender's set of evacuated data centres.
 	Evacuation evacuation.Mark
+	// Interference lists the pairs of kinds of task that slow each other down, at most
+	// maxSentPairs, if the sender is home.
+	Interference []interference.Pair
 }
 
 // GreetReply is the receiver's own greeting.
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -26,6 +26,7 @@
 	homeChanges  tally.Counter // changes of the home
 	jobsHomeLost tally.Counter // jobs whose home was lost
 	evacuated    tally.Gauge   // evacuated data centres
+	pairs        tally.Gauge   // of kinds of task that slow each other down, at the home
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -36,7 +37,7 @@
 		latency: s.Histogram("answer_seconds", latencyBuckets), firstStart: s.Histogram("first_start_seconds", latencyBuckets),
 		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"),
 		homeChanges: s.Counter("home_changes"), jobsHomeLost: s.Counter("jobs_home_lost"),
-		evacuated: s.Gauge("evacuated_data_centres"),
+		evacuated: s.Gauge("evacuated_data_centres"), pairs: s.Gauge("home_interfering_pairs"),
 	}
 }
 
