Compare only runs that are alike when interference is sought

The replays of TestPatterns have no interference, but homes found pairs in them: one in nine patterns, and up to two a run in TestProgressRevealsSlowWorkers, with factors of 1.10 to 1.19.

Two causes: a run counted as beside a kind that it met at its start and its end, which depends on its run time, since a long run meets more kinds; and tasks of a queue may take longer on one class of workers than the mean of the queue.

Now only the kinds at the start count, and only runs on workers of one class are compared. Each bucket of workers is compared with its own runs apart, and there are 64 instead of 16. The evidence lasts twice as long.

--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -10,40 +10,49 @@
 // contrast is the evidence of one step for a pair.
 type contrast struct {
 	weight, value float64
-	buckets       [numBuckets]share
+	buckets       [numBuckets]share // by worker
 }
 
-// share is the part of the evidence that comes from the workers of a bucket.
+// share sums up the runs on the workers of a bucket: those apart and those beside. Residuals
+// are relative to the mean of the other runs of the step that are apart.
 type share struct {
-	weight, sum float64 // sum of weight times contrast
+	n, sum [2]float64
+}
+
+// contrast returns the weight and the mean of the runs beside minus those apart.
+func (s *share) contrast() (weight, mean float64) {
+	if s.n[0] == 0 || s.n[1] == 0 {
+		return 0, 0
+	}
+	return s.n[0] * s.n[1] / (s.n[0] + s.n[1]), s.sum[1]/s.n[1] - s.sum[0]/s.n[0]
 }
 
 // contrast compares the runs beside kind b with those apart from it. Both must exist.
 func (d *Detector) contrast(a, b int, runs []Run) (c contrast) {
 	bit := Set(1) << b
-	var residuals []float64 // of runs beside or apart
-	var used []Run
-	for _, r := range runs {
-		if r.Start&bit == r.End&bit {
-			residuals = append(residuals, r.Residual-d.logFactor(a, r.Start&r.End&^bit))
-			used = append(used, r)
-		}
+	residuals := make([]float64, len(runs))
+	for i, r := range runs {
+		residuals[i] = r.Residual - d.logFactor(a, r.Beside&^bit)
 	}
 	mid := median(residuals)
 	var n, sum [2]float64
-	for i, r := range used {
+	for i, r := range runs {
 		residuals[i] = max(-maxResidual, min(maxResidual, residuals[i]-mid))
-		side := int(r.Start & bit >> b)
+		side := int(r.Beside & bit >> b)
 		n[side]++
 		sum[side] += residuals[i]
 	}
 	meanApart := sum[0] / n[0]
 	c.weight, c.value = n[0]*n[1]/(n[0]+n[1]), sum[1]/n[1]-meanApart
-	for i, r := range used {
-		if r.Start&bit != 0 {
-			s, weight := &c.buckets[bucket(r.Worker)], c.weight/n[1]
-			s.weight += weight
-			s.sum += weight * (residuals[i] - meanApart)
+	for i, r := range runs {
+		s := &c.buckets[bucket(r.Worker)]
+		switch {
+		case r.Beside&bit != 0:
+			s.n[1]++
+			s.sum[1] += residuals[i] - meanApart
+		case n[0] > 1:
+			s.n[0]++
+			s.sum[0] += residuals[i] - (sum[0]-residuals[i])/(n[0]-1)
 		}
 	}
 	return c
@@ -69,8 +78,11 @@
 	p.sum = p.sum*decay + c.weight*c.value
 	p.squares = p.squares*decay + c.weight*c.value*c.value
 	for i := range p.buckets {
-		s := &p.buckets[i]
-		s.weight, s.sum = s.weight*decay+c.buckets[i].weight, s.sum*decay+c.buckets[i].sum
+		s, add := &p.buckets[i], &c.buckets[i]
+		for side := range s.n {
+			s.n[side] = s.n[side]*decay + add.n[side]
+			s.sum[side] = s.sum[side]*decay + add.sum[side]
+		}
 	}
 	p.jobs++
 	p.lastEvidence = now
@@ -83,27 +95,38 @@
 	return mean, math.Sqrt(variance / p.weight)
 }
 
-// isWidespread reports whether workers of enough buckets show a slowdown of this mean.
-func (p *evidence) isWidespread(mean float64) bool {
-	n, used, sum, largest, variance := 0, 0.0, 0.0, 0.0, 0.0
-	for _, s := range p.buckets {
-		if s.weight == 0 {
+// isWidespread reports whether workers of enough buckets show a slowdown, each against the
+// runs apart on the workers of the same bucket.
+func (p *evidence) isWidespread() bool {
+	var weights, means [numBuckets]float64
+	n, used, total, sum, positive, largest := 0, 0.0, 0.0, 0.0, 0.0, 0.0
+	for i := range p.buckets {
+		w, m := p.buckets[i].contrast()
+		weights[i], means[i] = w, m
+		if w == 0 {
 			continue
 		}
 		used++
-		diff := s.sum - s.weight*mean
-		variance += diff * diff
-		if s.sum > 0 {
+		total += w
+		sum += w * m
+		if m > 0 {
 			n++
-			sum += s.sum
-			largest = max(largest, s.sum)
+			positive += w * m
+			largest = max(largest, w*m)
 		}
 	}
-	if n < minBuckets || largest > maxBucketShare*sum {
+	if n < minBuckets || largest > maxBucketShare*positive {
 		return false
 	}
-	stdErr := math.Sqrt(variance*used/(used-1)) / p.weight
-	return mean >= minBucketZ*stdErr
+	mean, variance := sum/total, 0.0
+	for i, w := range weights {
+		diff := w * (means[i] - mean)
+		variance += diff * diff
+	}
+	// A few buckets may agree by chance, so the error is at least that of single runs.
+	_, ofAll := p.estimate()
+	stdErr := max(math.Sqrt(variance*used/(used-1))/total, ofAll*math.Sqrt(p.weight/total))
+	return mean >= minFound && mean >= minBucketZ*stdErr
 }
 
 // judge decides whether a pair with new evidence is found or dropped.
@@ -114,7 +137,7 @@
 	mean, stdErr := p.estimate()
 	z := mean / stdErr
 	switch {
-	case mean >= minFound && z >= foundZ && p.isWidespread(mean):
+	case mean >= minFound && z >= foundZ && p.isWidespread():
 		p.logFactor, p.z, p.imported = mean, z, false
 		d.set(p, true, changes)
 	case p.imported && mean+contradictsByZ*stdErr < minDropped, p.found && !p.imported && (mean < minDropped || z < droppedZ):
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -44,22 +44,25 @@
 
 // Run is a task that is done.
 type Run struct {
-	Worker     string
-	Residual   float64 // log of run time over expected time
-	Start, End Set     // kinds that ran on the worker when it started and when it ended
+	Worker   string
+	Class    string  // of workers; only runs on workers of one class are compared
+	Residual float64 // log of run time over expected time
+	// Beside is the kinds that ran on the worker when the task started. Those at its end say
+	// nothing more: a long run meets more kinds, so a choice by them depends on its run time.
+	Beside Set
 }
 
 const (
 	maxKinds   = 64 // bits of a Set
 	maxPairs   = 1024
-	numBuckets = 16
+	numBuckets = 64 // with 16, 2 of the same 300 replays had a false pair
 
 	// A tail of 3% of tasks takes 7 times as long. Residuals are clipped to this distance
 	// from the median of their step. Clipping contrasts instead would bias them where a
 	// step has more tasks beside than apart.
 	maxResidual = 0.7
 
-	decay       = 1 - 1.0/200 // of the sums with each step that gives evidence
+	decay       = 1 - 1.0/400 // of the sums with each step that gives evidence
 	minSteps    = 16          // below, the variance is not known
 	minVariance = 0.01        // of a residual; a tenth is less than tasks vary
 
@@ -67,9 +70,9 @@
 	droppedZ       = 3
 	minBuckets     = 4
 	maxBucketShare = 0.4
-	// minBucketZ is the z-score over buckets. The slowness of a worker is known up to about
-	// 10%, and a kind may run on a few workers only: without this limit, 4 of 300 replays with
-	// a kind on 8 of 24 workers had a false pair.
+	// minBucketZ is the z-score over buckets, each with its own runs apart. The slowness of a
+	// worker is known up to about 10%, and a kind may run on a few workers only: without this
+	// limit, 4 of 300 replays with a kind on 8 of 24 workers had a false pair.
 	minBucketZ     = 6
 	importedExpiry = time.Minute      // of imported pairs without evidence
 	foundExpiry    = 10 * time.Minute // of found pairs without evidence: placement keeps the kinds apart, so that an end of interference isn't seen
@@ -89,7 +92,7 @@
 	kind, beside         int
 	steps                float64 // decaying, as are the sums
 	weight, sum, squares float64
-	buckets              [numBuckets]share // of weight and sum, by worker
+	buckets              [numBuckets]share // by worker
 	jobs                 int
 	found, imported      bool
 	logFactor, z         float64 // as last computed, or imported
@@ -167,19 +170,36 @@
 	if !ok {
 		return nil
 	}
+	for len(runs) > 0 {
+		class := runs[0].Class
+		var same, others []Run
+		for _, r := range runs {
+			if r.Class == class {
+				same = append(same, r)
+			} else {
+				others = append(others, r)
+			}
+		}
+		d.observeClass(now, a, same, &changes)
+		runs = others
+	}
+	return changes
+}
+
+// observeClass takes the runs of a step on workers of one class.
+func (d *Detector) observeClass(now time.Time, a int, runs []Run, changes *[]Change) {
 	var beside, apart Set
 	for _, r := range runs {
-		beside |= r.Start & r.End
-		apart |= ^(r.Start | r.End)
+		beside |= r.Beside
+		apart |= ^r.Beside
 	}
 	for s := beside & apart; s != 0; s &= s - 1 {
 		b := bits.TrailingZeros64(uint64(s))
 		c := d.contrast(a, b, runs)
-		p := d.pair(a, b, &changes)
+		p := d.pair(a, b, changes)
 		p.add(now, &c)
-		d.judge(p, &changes)
+		d.judge(p, changes)
 	}
-	return changes
 }
 
 // Expire drops pairs without recent evidence.
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -50,14 +50,13 @@
 				run.Residual += math.Log(f)
 			}
 			if r.rng.Float64() < r.beside(w) {
-				run.Start, run.End = b, b
-				run.Residual += math.Log(r.factor)
-				if r.rng.Float64() < 0.2 {
-					run.End = 0 // b ended meanwhile
+				run.Beside = b
+				if r.rng.Float64() >= 0.2 { // b does not end at once
+					run.Residual += math.Log(r.factor)
 				}
 			}
 			if r.rng.Float64() < 0.3 {
-				run.Start, run.End = run.Start|a, run.End|a
+				run.Beside |= a
 			}
 			step = append(step, run)
 		}
@@ -196,7 +195,7 @@
 		for k := range 100 {
 			all |= d.Kind(fmt.Sprint(k))
 		}
-		d.Observe(now, fmt.Sprint(i), []interference.Run{{Worker: "w", Start: all, End: all}, {Worker: "w"}})
+		d.Observe(now, fmt.Sprint(i), []interference.Run{{Worker: "w", Beside: all}, {Worker: "w"}})
 	}
 	if d.Kind("99") != 0 || d.NumFound() != 0 {
 		t.Error("kinds beyond the limit are kept")
--- a/schedule/interference.go
+++ b/schedule/interference.go
@@ -20,7 +20,7 @@
 			j.doneRuns = make(map[int][]interference.Run)
 		}
 		j.doneRuns[slot] = append(j.doneRuns[slot], interference.Run{
-			Worker: t.agent, Residual: math.Log(float64(took) / float64(tk.expected)), Start: tk.beside, End: c.kindsOn(t)})
+			Worker: t.agent, Class: t.kind(), Residual: math.Log(float64(took) / float64(tk.expected)), Beside: tk.beside})
 	}
 	if j.unfinished[slot] > 1 {
 		return
