--- a/schedule/core.go
+++ b/schedule/core.go
@@ -43,6 +43,7 @@
 
 	"masticbay/ejection"
 	"masticbay/evacuation"
+	"masticbay/interference"
 	"masticbay/work"
 	"masticbay/worker"
 )
@@ -97,6 +98,7 @@
 	demand         map[string]*serviceDemand // by service
 	open           []*target                 // the result of openTargets, whose memory is used again
 	minWaitingCPU  int                       // no waiting job has a smaller minCPU
+	pairs          *interference.Detector
 	decisions      Decisions
 }
 
@@ -106,6 +108,7 @@
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
 		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(), cold: make(map[string]coldFigures),
 		demand: make(map[string]*serviceDemand),
+		pairs:  interference.NewDetector(),
 	}
 }
 
@@ -304,6 +307,7 @@
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
 		c.expireRacks(now)
+		c.notePairs(c.pairs.Expire(now))
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -61,6 +61,7 @@
 	case e.End == work.Done:
 		c.recordDone(now, t, j, e.Run)
 		t.normalEnds.add(now, e.Took, tk.expected)
+		c.recordBeside(now, t, j, slot, index, e.Took)
 		c.recordRunTime(now, t, j, slot, index, e.Took)
 		c.finishTask(now, j, slot, index)
 	case e.End == work.Failed:
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticbay/interference"
 	"masticbay/work"
 )
 
@@ -28,12 +29,13 @@
 	sealing        *sealing        // set until no such run is left
 	avoid          map[string]bool // agents where a run failed or stalled
 	firstPlacedAt  time.Time
-	requeues       int           // runs that did not end as done
-	failures       int           // runs that failed or made no progress
-	lastRun        runTimes      // the run that ended last
-	chain          time.Duration // of the estimates, at slowness 1
-	bias           *bias         // of its queue; see Core.biasOf
-	demand         *queueDemand  // of its queue
+	requeues       int                        // runs that did not end as done
+	failures       int                        // runs that failed or made no progress
+	lastRun        runTimes                   // the run that ended last
+	chain          time.Duration              // of the estimates, at slowness 1
+	bias           *bias                      // of its queue; see Core.biasOf
+	demand         *queueDemand               // of its queue
+	doneRuns       map[int][]interference.Run // by slot that is not done, for the evidence on interference
 }
 
 // runTimes tells where and for how long a run waited and ran.
@@ -62,9 +64,10 @@
 	agent      string
 	startedAt  time.Time
 	expected   time.Duration
-	slowdown   float64 // of the worker when the task was placed
-	speed      float64 // of the worker's capacity that its run uses
-	wasCold    bool    // the worker was cold when the task was placed
+	slowdown   float64          // of the worker when the task was placed
+	speed      float64          // of the worker's capacity that its run uses
+	wasCold    bool             // the worker was cold when the task was placed
+	beside     interference.Set // kinds that ran on the worker when the task was placed
 	stopping   bool
 	near       bool    // its worker is in the rack of its affinity
 	freed      float64 // its part of target.freed
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -268,6 +268,7 @@
 	if !j.wasSent {
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
+	tk.beside = c.kindsOn(t)
 	t.runs[run.Task] = run
 	c.ejection.Probing(startedAt, t.agent, run)
 	t.occupy(step, tk)
