Merge cheap passes over the waiting jobs, load shedding and interference

With thousands of waiting tasks a home fell behind; under lasting overload nearly all jobs of the lower queues were late; and placement did not know which kinds of task slow each other down. Load shedding is off unless the settings turn it on.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -13,7 +13,8 @@
 // them while that can still be in time. Otherwise it returns the fastest worker with free
 // capacity. A task whose rack has no free capacity waits for it while that ends sooner. If
 // more work wants a rack than it can do, tasks that are in time elsewhere leave it to those
-// that are not.
+// that are not. Kinds of task that slow each other down change only which worker is returned,
+// never whether there is one.
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
@@ -25,13 +26,14 @@
 			continue
 		}
 		distance := c.distanceFactor(step, t)
-		this := choice{t, time.Duration(float64(baseTime) * t.slowness() * distance)}
+		this := choice{t: t, expected: time.Duration(float64(baseTime) * t.slowness() * distance)}
 		inTime := slack.meetsObjective(this.expected)
 		if !t.free().Holds(step.Room) {
 			worthWaiting = worthWaiting || inTime
 			continue
 		}
 		nearFree = nearFree || distance == 1
+		this.conflict = c.conflictOn(now, j, t, this.expected)
 		switch {
 		case !inTime:
 		case distance > 1 && !isReserved(step, t):
@@ -43,6 +45,7 @@
 		default:
 			reserved = reserved.better(this)
 		}
+		this.expected = this.conflict.stretch(this.expected)
 		if fastest.t == nil || this.expected < fastest.expected {
 			fastest = this
 		}
@@ -81,10 +84,17 @@
 type choice struct {
 	t        *target
 	expected time.Duration
+	conflict conflict
 }
 
 // better returns the better of two workers that meet the objective.
 func (b choice) better(o choice) choice {
+	if b.t != nil && o.conflict != b.conflict {
+		if o.conflict.isLess(b.conflict) {
+			return o
+		}
+		return b
+	}
 	if b.t == nil || isBetter(o.expected, o.t, b.expected, b.t) {
 		return o
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -43,6 +43,7 @@
 
 	"masticbay/ejection"
 	"masticbay/evacuation"
+	"masticbay/interference"
 	"masticbay/work"
 	"masticbay/worker"
 )
@@ -59,6 +60,8 @@
 	Margin              time.Duration // time for the messages that start a run and report its end
 	MaxRemembered       int           // number of outcomes kept for callers that submit a job again
 	MaxQueued           int           // waiting tasks beyond which new jobs are rejected
+	// ShedLoad turns on the rules for overload; see overload.go.
+	ShedLoad bool
 	// MaxSealingAgents is the number of agents up to which they are asked to seal a job. A
 	// lost home may have had hundreds of jobs, and each agent is asked about each of them.
 	MaxSealingAgents int
@@ -92,6 +95,10 @@
 	evacuated      evacuation.Set
 	placementHeld  bool // until the evacuated data centres are known
 	ejection       *ejection.Tracker
+	demand         map[string]*serviceDemand // by service
+	open           []*target                 // the result of openTargets, whose memory is used again
+	minWaitingCPU  int                       // no waiting job has a smaller minCPU
+	pairs          *interference.Detector
 	decisions      Decisions
 }
 
@@ -100,6 +107,8 @@
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
 		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(), cold: make(map[string]coldFigures),
+		demand: make(map[string]*serviceDemand),
+		pairs:  interference.NewDetector(),
 	}
 }
 
@@ -180,9 +189,15 @@
 // Waiting returns, by queue, the number of waiting jobs that have had no task sent.
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
-	for _, j := range c.waiting {
-		if !j.wasSent {
-			counts[j.Queue.Name]++
+	for i := 0; i < len(c.waiting); {
+		name, n := c.waiting[i].Queue.Name, 0 // jobs of one queue are mostly side by side
+		for ; i < len(c.waiting) && c.waiting[i].Queue.Name == name; i++ {
+			if !c.waiting[i].wasSent {
+				n++
+			}
+		}
+		if n > 0 {
+			counts[name] += n
 		}
 	}
 	return counts
@@ -215,11 +230,17 @@
 		c.awaitSeals(now, j, h)
 	}
 	c.unblock(now, j)
-	if reason, retry := c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
+	if reason, retry := c.rejectReason(now, j, c.demandOf(now, w.Queue.Service).capacity, true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
 		c.reject(now, j, reason, retry)
 		return
 	}
 	c.recordDemand(now, j)
+	if !j.Stored {
+		c.countArrival(now, j)
+	}
+	if !c.admit(now, j) {
+		return
+	}
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -286,6 +307,7 @@
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
 		c.expireRacks(now)
+		c.notePairs(c.pairs.Expire(now))
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
@@ -296,5 +318,6 @@
 	c.reviewWorkers(now)
 	c.rejectHopeless(now)
 	c.demoteLate(now)
+	c.demoteOnlyLate(now)
 	c.placeWaiting(now)
 }
--- a/schedule/evacuation.go
+++ b/schedule/evacuation.go
@@ -22,6 +22,9 @@
 // placed elsewhere, and jobs that no other worker can run are rejected.
 func (c *Core) SetEvacuated(now time.Time, set evacuation.Set) {
 	c.placementHeld, c.evacuated = false, set
+	for _, d := range c.demand {
+		d.capacity = nil // counted anew
+	}
 	for _, name := range c.agentNames {
 		c.stopLasting(c.targets[name])
 	}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticbay/interference"
 	"masticbay/work"
 )
 
@@ -22,14 +23,19 @@
 	answered       bool
 	missesDeadline bool            // it can no longer meet its cutoff, but still has to be done
 	leftRack       bool            // a task of it runs outside the rack of its affinity
+	late           bool            // it can no longer meet its objective; see Core.demoteOnlyLate
 	isWaiting      bool            // it is in Core.waiting
 	runNumberBase  int             // highest number of a run that another home may have started
 	sealing        *sealing        // set until no such run is left
 	avoid          map[string]bool // agents where a run failed or stalled
 	firstPlacedAt  time.Time
-	requeues       int      // runs that did not end as done
-	failures       int      // runs that failed or made no progress
-	lastRun        runTimes // the run that ended last
+	requeues       int                        // runs that did not end as done
+	failures       int                        // runs that failed or made no progress
+	lastRun        runTimes                   // the run that ended last
+	chain          time.Duration              // of the estimates, at slowness 1
+	bias           *bias                      // of its queue; see Core.biasOf
+	demand         *queueDemand               // of its queue
+	doneRuns       map[int][]interference.Run // by slot that is not done, for the evidence on interference
 }
 
 // runTimes tells where and for how long a run waited and ran.
@@ -58,8 +64,10 @@
 	agent      string
 	startedAt  time.Time
 	expected   time.Duration
-	slowdown   float64 // of the worker when the task was placed
-	wasCold    bool    // the worker was cold when the task was placed
+	slowdown   float64          // of the worker when the task was placed
+	speed      float64          // of the worker's capacity that its run uses
+	wasCold    bool             // the worker was cold when the task was placed
+	beside     interference.Set // kinds that ran on the worker when the task was placed
 	stopping   bool
 	near       bool    // its worker is in the rack of its affinity
 	freed      float64 // its part of target.freed
@@ -67,7 +75,8 @@
 
 func newJob(now time.Time, w work.Job, runNumberBase int) *job {
 	j := &job{Job: w, receivedAt: now.Add(-w.Age), tasks: make([][]task, w.Slots()), unfinished: make([]int, w.Slots()), runNumberBase: runNumberBase}
-	j.objective = j.receivedAt.Add(w.Queue.Objective(w.Chain()))
+	j.chain = w.Chain()
+	j.objective = j.receivedAt.Add(w.Queue.Objective(j.chain))
 	j.minCPU = w.Steps[0].Room.CPU
 	for i := range j.tasks {
 		j.minCPU = min(j.minCPU, w.Step(i).Room.CPU)
@@ -107,7 +116,7 @@
 // cutoff returns the time after which the end of a job is of no use to a caller
 // that waits for it.
 func (c *Core) cutoff(j *job) time.Time {
-	return j.receivedAt.Add(time.Duration(float64(j.Queue.Objective(j.Chain())) * c.cfg.CutoffFactor))
+	return j.receivedAt.Add(time.Duration(float64(j.Queue.Objective(j.chain)) * c.cfg.CutoffFactor))
 }
 
 // unblock makes those tasks pending that are due and whose steps are ready.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,12 +14,13 @@
 		return
 	}
 	j.isWaiting = true
+	c.minWaitingCPU = min(c.minWaitingCPU, j.minCPU)
 	i, _ := slices.BinarySearchFunc(c.waiting, j, compareJobs)
 	c.waiting = slices.Insert(c.waiting, i, j)
 }
 
-// compareJobs orders jobs: those that can still meet their deadline first, then by
-// priority, by objective and by ID.
+// compareJobs orders jobs: those that can still meet their deadline first, of these those
+// that can meet their objective, then by priority, by objective and by ID.
 func compareJobs(a, b *job) int {
 	switch {
 	case a.missesDeadline != b.missesDeadline:
@@ -26,12 +28,19 @@
 			return 1
 		}
 		return -1
+	case a.late != b.late:
+		if a.late {
+			return 1
+		}
+		return -1
 	case a.Queue.Priority != b.Queue.Priority:
 		return a.Queue.Priority - b.Queue.Priority
 	case !a.objective.Equal(b.objective):
 		return a.objective.Compare(b.objective)
 	case a.ID < b.ID:
 		return -1
+	case a.ID == b.ID:
+		return 0
 	default:
 		return 1
 	}
@@ -43,28 +52,92 @@
 		return
 	}
 	j.isWaiting = false
+	if i, ok := slices.BinarySearchFunc(c.waiting, j, compareJobs); ok && c.waiting[i] == j {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		return
+	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(o *job) bool { return o == j })
 }
 
 // placeWaiting places waiting tasks on workers that have free capacity.
 func (c *Core) placeWaiting(now time.Time) {
 	if len(c.waiting) == 0 {
+		c.minWaitingCPU = math.MaxInt
 		return
 	}
 	open := append(c.openTargets(now), c.probeTargets(now)...)
-	if len(open) == 0 || c.placementHeld {
+	if c.placementHeld || maxFreeCPU(open) < c.minWaitingCPU {
 		return
 	}
 	c.updateRacks(now, open)
+	p := &placement{open: open, storedAllowed: c.mayPlaceStored(now)}
+	if c.guaranteeApplies(now) {
+		c.placeInOrder(now, p, true)
+	}
+	c.placeInOrder(now, p, false)
+}
+
+// placement is a pass over the waiting jobs.
+type placement struct {
+	open          []*target
+	storedAllowed bool
+	refusals      []refusals
+}
+
+// refusals counts the jobs of one kind that did not take the free capacity in a pass,
+// since they could not be in time there. Beyond maxRefusals the others of the kind are not
+// asked: otherwise each free worker would be offered to all waiting jobs again and again.
+type refusals struct {
+	queue, label, affinity string
+	count                  int
+}
+
+const maxRefusals = 32
+
+// refusalsOf returns the count for the kind of a job.
+func (p *placement) refusalsOf(j *job) *refusals {
+	step := &j.Steps[0]
+	for i := range p.refusals {
+		if r := &p.refusals[i]; r.queue == j.Queue.Name && r.label == step.Label && r.affinity == step.Affinity {
+			return r
+		}
+	}
+	p.refusals = append(p.refusals, refusals{queue: j.Queue.Name, label: step.Label, affinity: step.Affinity})
+	return &p.refusals[len(p.refusals)-1]
+}
+
+// refusedForTime reports whether a job that was not placed would fit on an open worker, and
+// so was not placed for the time that it would take there. Jobs with reasons of their own,
+// such as a worker that they avoid, say nothing about others.
+func refusedForTime(j *job, open []*target) bool {
+	step := &j.Steps[0]
+	if len(j.Steps) > 1 || j.Stored || len(j.avoid) > 0 || step.Gang || step.MaxPerOne > 0 {
+		return false
+	}
+	return slices.ContainsFunc(open, func(t *target) bool { return t.free().Holds(step.Room) })
+}
+
+// placeInOrder places waiting tasks in the order of their jobs. With deficient, it
+// does so only for queues while they get less than their guaranteed share.
+func (c *Core) placeInOrder(now time.Time, p *placement, deficient bool) {
+	open, storedAllowed := p.open, p.storedAllowed
 	maxFree := maxFreeCPU(open)
-	storedAllowed := c.mayPlaceStored(now)
-	for i := 0; i < len(c.waiting); i++ {
+	for i := 0; i < len(c.waiting) && maxFree >= c.minWaitingCPU; i++ {
 		j := c.waiting[i]
+		if deficient && !j.belowGuarantee() {
+			continue
+		}
 		if j.minCPU > maxFree || j.Stored && !storedAllowed || j.sealing != nil {
 			continue
 		}
+		r := p.refusalsOf(j)
+		if r.count >= maxRefusals {
+			continue
+		}
 		if c.placeJob(now, j, open) {
 			maxFree = maxFreeCPU(open)
+		} else if refusedForTime(j, open) {
+			r.count++
 		}
 		if j.pending == 0 {
 			j.isWaiting = false
@@ -74,9 +147,10 @@
 	}
 }
 
-// openTargets returns the workers on which tasks may be placed now.
+// openTargets returns the workers on which tasks may be placed now. The result is valid
+// until the next call.
 func (c *Core) openTargets(now time.Time) []*target {
-	var open []*target
+	open := c.open[:0]
 	for _, name := range c.agentNames {
 		t := c.targets[name]
 		c.refreshCold(now, t)
@@ -84,6 +158,7 @@
 			open = append(open, t)
 		}
 	}
+	c.open = open
 	return open
 }
 
@@ -193,8 +268,11 @@
 	if !j.wasSent {
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
+	tk.beside = c.kindsOn(t)
 	t.runs[run.Task] = run
 	c.ejection.Probing(startedAt, t.agent, run)
 	t.occupy(step, tk)
+	c.countRunning(j, tk, float64(step.Room.CPU)/t.slowness())
+	c.countPlaced(j, slot)
 	return tk
 }
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -31,6 +31,7 @@
 	homeChanges  tally.Counter // changes of the home
 	jobsHomeLost tally.Counter // jobs whose home was lost
 	evacuated    tally.Gauge   // evacuated data centres
+	pairs        tally.Gauge   // of kinds of task that slow each other down, at the home
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -41,7 +42,7 @@
 		latency: s.Histogram("answer_seconds", latencyBuckets), firstStart: s.Histogram("first_start_seconds", latencyBuckets),
 		waiting: s.Gauge("home_tasks_waiting"), running: s.Gauge("home_tasks_running"), ejected: s.Gauge("home_workers_ejected"),
 		homeChanges: s.Counter("home_changes"), jobsHomeLost: s.Counter("jobs_home_lost"),
-		evacuated: s.Gauge("evacuated_data_centres"),
+		evacuated: s.Gauge("evacuated_data_centres"), pairs: s.Gauge("home_interfering_pairs"),
 	}
 }
 
@@ -54,6 +55,9 @@
 // countNote counts a log note about a decision of the home.
 func (m *entryMetrics) countNote(n *schedule.Note) {
 	m.scope.Tagged(map[string]string{"what": n.Kind}).Counter("home_decisions").Inc(1)
+	if n.Kind == "rejected" {
+		m.scope.Tagged(map[string]string{"why": n.Reason}).Counter("home_rejections").Inc(1)
+	}
 	if first, ok := n.Values["firstStartMs"]; ok {
 		m.firstStart.RecordDuration(time.Duration(first * float64(time.Millisecond)))
 	}
