--- a/bench/placement_test.go
+++ b/bench/placement_test.go
@@ -29,6 +29,7 @@
 // TestTailIsTakenForSlowWorkers guards against work that is thrown away, since runs in
 // their tail are stopped and started again, and against jobs that are missed by it.
 func TestTailIsTakenForSlowWorkers(t *testing.T) {
+	t.Parallel()
 	results := replaySeeds(t, "lifts.toml", 8)
 	wasted := 0.0
 	for _, r := range results {
@@ -46,6 +47,7 @@
 // TestJobsRunOutsideTheirRacks guards against tasks that take three times as long on fast
 // workers outside their racks, while their racks have free capacity.
 func TestJobsRunOutsideTheirRacks(t *testing.T) {
+	t.Parallel()
 	results := replaySeeds(t, "fuel-racks.toml", 6)
 	for i, q := range results[0].Queues {
 		v := inTime(results, i)
@@ -60,6 +62,7 @@
 // neither do its jobs wait for it in vain, nor do those that are late elsewhere leave it to
 // those that are not.
 func TestHotRackHoldsItsJobsBack(t *testing.T) {
+	t.Parallel()
 	results := replaySeeds(t, "fuel-hot-rack.toml", 8)
 	for i, want := range []float64{0.99, 0.98, 0.89} {
 		v := inTime(results, i)
--- a/bench/replay_test.go
+++ b/bench/replay_test.go
@@ -37,6 +37,7 @@
 	}
 	for _, file := range files {
 		t.Run(file, func(t *testing.T) {
+			t.Parallel()
 			minWorth := 0.70
 			if file == "calm.toml" {
 				minWorth = 0.95
@@ -57,6 +58,7 @@
 // slow progress than if it learns of slow workers only when runs end. It averages
 // over seeds, as random draws decide a lot at the highest load.
 func TestProgressRevealsSlowWorkers(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	for _, file := range []string{"slow.toml", "worst.toml"} {
 		var informed, uninformed float64
@@ -94,6 +96,7 @@
 // TestLossOfAHomeDelaysItsCellOnly compares the loss of one home of six with that of
 // the only home of a site of 240 workers.
 func TestLossOfAHomeDelaysItsCellOnly(t *testing.T) {
+	t.Parallel()
 	notInTime := func(homes int, loss bool) (n int) {
 		res := replayPattern(t, "large.toml", func(r *replay) {
 			r.pattern.Homes, r.pattern.Seconds = homes, 7 // 2 s after the loss
