--- a/review/.driver-2/main.go
+++ b/review/.driver-2/main.go
@@ -38,7 +38,9 @@
 	"reborn":    {rebornConfig, playReborn},
 	"unstarted": {unstartedConfig, playUnstarted},
 	"gang":      {gangConfig, playGang},
+	"budget":    {budgetConfig, playBudget},
 	"soak":      {soakConfig, playSoak},
+	"soakOpen":  {soakOpenConfig, playSoak},
 }
 
 func main() {
--- a/review/.driver-2/site.go
+++ b/review/.driver-2/site.go
@@ -58,6 +58,7 @@
 	name string
 	ip   string
 	role string
+	cut  cutMode
 	cmd  *exec.Cmd
 	done chan struct{}
 }
@@ -70,7 +71,8 @@
 	logDir    string
 	net       string // the first three bytes of all addresses
 	store     *standin.Store
-	storeSrv  *http.Server
+	memory    *store.Memory // of store
+	storeSrvs []*http.Server
 	journal   *journal
 	executors []*executor
 
@@ -91,13 +93,8 @@
 	if err := s.chooseNet(); err != nil {
 		return s, err
 	}
-	s.store = standin.NewStore(store.NewMemory(clock.System{}))
-	ln, err := net.Listen("tcp", s.storeAddress())
-	if err != nil {
-		return s, err
-	}
-	s.storeSrv = &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.storeSrv.Serve(ln) }()
+	s.memory = store.NewMemory(clock.System{})
+	s.store = standin.NewStore(s.memory)
 	if err := s.putConfig(); err != nil {
 		return s, err
 	}
@@ -127,7 +124,77 @@
 
 func (s *site) ip(last int) string { return s.net + strconv.Itoa(last) }
 
-func (s *site) storeAddress() string { return hostPort(s.ip(5), storePort) }
+// storeAddress returns where the machine with an address reaches the store. Each machine has
+// an address of its own for it, so that its path can be cut.
+func (s *site) storeAddress(last int) string { return hostPort(s.ip(100+last), storePort) }
+
+// cutMode is what happens to the calls of a machine to the store.
+type cutMode int
+
+const (
+	uncut   cutMode = iota
+	busyCut         // 503
+	manyCut         // 429
+	resetCut
+	silentCut // no answer; the calls are carried out after the cut
+	lostCut   // no answer; the calls are not carried out
+)
+
+// serveStore serves the store to one machine.
+func (s *site) serveStore(p *process, last int) error {
+	ln, err := net.Listen("tcp", s.storeAddress(last))
+	if err != nil {
+		return err
+	}
+	h := s.store.Handler()
+	srv := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch mode := s.cutOf(p); mode {
+		case busyCut:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case manyCut:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case resetCut:
+			panic(http.ErrAbortHandler)
+		case silentCut, lostCut:
+			raw, err := io.ReadAll(r.Body)
+			for s.cutOf(p) != uncut && s.ctx.Err() == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if err == nil && mode == silentCut && r.Method == http.MethodPost {
+				late := r.Clone(context.Background())
+				late.Body = io.NopCloser(bytes.NewReader(raw))
+				h.ServeHTTP(w, late)
+			}
+			panic(http.ErrAbortHandler)
+		default:
+			h.ServeHTTP(w, r)
+		}
+	})}
+	s.storeSrvs = append(s.storeSrvs, srv)
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
+func (s *site) cutOf(p *process) cutMode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.cut
+}
+
+// cutStore cuts a machine from the store for a time.
+func (s *site) cutStore(name string, mode cutMode, d time.Duration) {
+	p := s.process(name)
+	set := func(m cutMode) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.cut = m
+	}
+	s.rec.line("%s: cut from the store, mode %d, for %v", name, mode, d)
+	set(mode)
+	s.sleep(d)
+	set(uncut)
+	s.rec.line("%s: reaches the store again", name)
+}
 
 // chooseNet picks loopback addresses on which the ports are free.
 func (s *site) chooseNet() error {
@@ -141,12 +208,12 @@
 }
 
 func (s *site) portsFree() bool {
-	lasts := []int{5}
+	var lasts []int
 	for i := range s.cfg.entries {
-		lasts = append(lasts, 10+i)
+		lasts = append(lasts, 10+i, 110+i)
 	}
 	for i := range s.cfg.executors {
-		lasts = append(lasts, 30+i)
+		lasts = append(lasts, 30+i, 130+i)
 	}
 	for _, last := range lasts {
 		for _, port := range []int{frontPort, readyPort, controlPort, appPort, internalPort, metricsPort, storePort} {
@@ -256,27 +323,27 @@
 	for i := range min(s.cfg.entries, 3) {
 		seeds = append(seeds, strconv.Quote(hostPort(s.ip(10+i), controlPort)))
 	}
-	text := fmt.Sprintf(settings, name, role, class, p.ip, zoneOf(last), internalPort, internalPort+15, strings.Join(seeds, ","), extra, listen, s.cfg.remoteFactor, s.storeAddress())
+	text := fmt.Sprintf(settings, name, role, class, p.ip, zoneOf(last), internalPort, internalPort+15, strings.Join(seeds, ","), extra, listen, s.cfg.remoteFactor, s.storeAddress(last))
 	if err := os.WriteFile(filepath.Join(s.dir, name+".toml"), []byte(text), 0o600); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	s.processes = append(s.processes, p)
 	s.mu.Unlock()
+	if err := s.serveStore(p, last); err != nil {
+		return err
+	}
 	return s.launch(p)
 }
 
 func (s *site) launch(p *process) error {
 	cmd := exec.Command(program, "site", p.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "MASTICBAY_NODE_FILE=" + filepath.Join(s.dir, p.name+".toml")}
-	var out io.WriteCloser
-	if s.logDir != "" {
-		f, err := os.OpenFile(filepath.Join(s.logDir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return err
-		}
-		out, cmd.Stdout, cmd.Stderr = f, f, f
+	out, err := os.OpenFile(s.logPath(p.name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
 	}
+	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -287,15 +354,21 @@
 	s.rec.line("%s: process starts", p.name)
 	go func() {
 		err := cmd.Wait()
-		if out != nil {
-			_ = out.Close()
-		}
+		_ = out.Close()
 		s.rec.line("%s: process ended: %v", p.name, err)
 		close(done)
 	}()
 	return nil
 }
 
+// logPath returns the file with the log of a process.
+func (s *site) logPath(name string) string {
+	if s.logDir != "" {
+		return filepath.Join(s.logDir, name+".log")
+	}
+	return filepath.Join(s.dir, name+".log")
+}
+
 func (s *site) process(name string) *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -328,8 +401,8 @@
 	for _, x := range s.executors {
 		x.crash()
 	}
-	if s.storeSrv != nil {
-		_ = s.storeSrv.Close()
+	for _, srv := range s.storeSrvs {
+		_ = srv.Close()
 	}
 	_ = os.RemoveAll(s.dir)
 }
@@ -392,6 +465,9 @@
 	Spec        string `json:"spec"`
 	BestEffort  bool   `json:"bestEffort,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	RunCount    int    `json:"runCount,omitempty"`
+	FirstRunMs  int64  `json:"firstRunMs,omitempty"`
+	IntervalMs  int64  `json:"intervalMs,omitempty"`
 	Steps       []step `json:"steps"`
 }
 
--- a/review/.driver-2/soak.go
+++ b/review/.driver-2/soak.go
@@ -19,6 +19,16 @@
 
 var soakConfig = siteConfig{entries: 3, executors: executors(8, 3, 16000), maxAttempts: 3, remoteFactor: 1.5}
 
+// soakOpenConfig is soakConfig with executors that start whatever they are told to.
+var soakOpenConfig = func() siteConfig {
+	cfg := soakConfig
+	cfg.executors = executors(8, 3, 16000)
+	for i := range cfg.executors {
+		cfg.executors[i].guards = false
+	}
+	return cfg
+}()
+
 // soakJob is a job of the soak and what its client knows of it.
 type soakJob struct {
 	id, queue   string
@@ -36,13 +46,23 @@
 type soak struct {
 	s   *site
 	rnd *rand.Rand
+	mix []string // kinds of job to choose from
+	// scale multiplies the CPU of the tasks.
+	scale int
 
-	mu   sync.Mutex // guards jobs and what they hold
+	mu   sync.Mutex      // guards what follows
+	busy map[string]bool // machines under a disruption
 	jobs []*soakJob
 }
 
 // soakKinds are the disruptions to choose from; the environment variable SOAK_KINDS names others.
-const soakKinds = "killEntry killEntry freezeEntry termEntry killAgent freezeAgent termAgent crash crashNewID grey unwell late storeDown storeSlow storeLost storeLate storeSome drain killTwo"
+const soakKinds = "killEntry killEntry freezeEntry termEntry killAgent freezeAgent termAgent crash crashNewID grey unwell late storeDown storeSlow storeLost storeLate storeSome coreCut coreCut drain killTwo killAllEntries killAll freezeAgents"
+
+// soakMix are the kinds of job to choose from; the environment variable SOAK_MIX names others.
+const soakMix = "plain plain plain after after fails gang gangAfter label spread saves saves timed timed lasts"
+
+// clientInterval is the time between the jobs of the soak.
+const clientInterval = 40 * time.Millisecond
 
 func playSoak(s *site, trouble bool) (verdict, error) {
 	seed, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64)
@@ -50,20 +70,31 @@
 		seed = rand.Uint64() >> 32
 	}
 	s.rec.line("soak: seed %d", seed)
-	k := &soak{s: s, rnd: rand.New(rand.NewPCG(seed, 1))}
+	mix := os.Getenv("SOAK_MIX")
+	if mix == "" {
+		mix = soakMix
+	}
+	k := &soak{s: s, busy: make(map[string]bool), mix: strings.Fields(mix), rnd: rand.New(rand.NewPCG(seed, 1))}
 	kinds := strings.Fields(soakKinds)
 	if v := os.Getenv("SOAK_KINDS"); v != "" {
 		kinds = strings.Fields(v)
 	}
 	s.store.SetFaults(standin.StoreFaults{Delay: 4 * time.Millisecond})
-	stop := s.background(60*time.Millisecond, func(int) { k.client() })
+	k.scale = 1
+	if os.Getenv("SOAK_HEAVY") != "" {
+		k.scale = 3
+	}
+	stop := s.background(clientInterval, func(int) { k.client() })
 	end := time.Now().Add(45 * time.Second)
+	var running sync.WaitGroup
 	for time.Now().Before(end) && s.ctx.Err() == nil {
-		s.sleep(time.Duration(1000+k.intN(3000)) * time.Millisecond)
+		s.sleep(time.Duration(500+k.intN(3000)) * time.Millisecond)
 		if trouble {
-			k.disrupt(kinds[k.intN(len(kinds))])
+			kind := kinds[k.intN(len(kinds))]
+			running.Go(func() { k.disrupt(kind) })
 		}
 	}
+	running.Wait()
 	stop()
 	s.sleep(finishTime)
 	broken := k.check()
@@ -88,15 +119,53 @@
 	}
 	n := k.intN(len(s.executors))
 	agent, x := fmt.Sprintf("side-%d", n+1), s.executors[n]
+	for _, of := range []struct{ kind, thing string }{{"Entry", entry}, {"Two", entry}, {"Agent", agent}, {"crash", agent}, {"drain", agent}, {"grey", agent}, {"unwell", agent}, {"store", "store"}, {"late", "late"}, {"All", "entry-1"}, {"All", "entry-2"}, {"All", "entry-3"}} {
+		if strings.Contains(kind, of.kind) {
+			if !k.take(of.thing) {
+				return
+			}
+			defer k.release(of.thing)
+		}
+	}
 	switch kind {
+	case "killAll", "killAllEntries":
+		names := []string{}
+		for _, p := range s.processes {
+			if p.role == "entry" || kind == "killAll" && k.take(p.name) {
+				names = append(names, p.name)
+			}
+		}
+		for _, name := range names {
+			s.kill(name)
+		}
+		s.sleep(time.Duration(300+k.intN(1200)) * time.Millisecond)
+		for _, name := range names {
+			_ = s.launch(s.process(name))
+			if !strings.HasPrefix(name, "entry") {
+				k.release(name)
+			}
+		}
+	case "freezeAgents":
+		var frozen sync.WaitGroup
+		for range 3 {
+			other := fmt.Sprintf("side-%d", 1+k.intN(len(s.executors)))
+			frozen.Go(func() {
+				if k.take(other) {
+					s.freeze(other, time.Duration(200+k.intN(3800))*time.Millisecond)
+					k.release(other)
+				}
+			})
+		}
+		frozen.Wait()
 	case "killEntry", "killTwo":
 		s.kill(entry)
 		if kind == "killTwo" {
 			s.sleep(time.Duration(k.intN(1500)) * time.Millisecond)
 			other := fmt.Sprintf("entry-%d", 1+k.intN(s.cfg.entries))
-			if other != entry {
+			if other != entry && k.take(other) {
 				s.kill(other)
 				_ = s.launch(s.process(other))
+				k.release(other)
 			}
 		}
 		s.sleep(time.Duration(k.intN(3000)) * time.Millisecond)
@@ -147,8 +216,24 @@
 	case "storeLate":
 		k.fault(standin.StoreFaults{WriteDelay: 2 * time.Second}, time.Duration(500+k.intN(1500))*time.Millisecond)
 	case "storeSome":
-		host, _, _ := strings.Cut(s.process(entry).ip, ":")
-		k.fault(standin.StoreFaults{RefusedHosts: map[string]bool{host: true}}, 5*time.Second)
+		var cuts sync.WaitGroup
+		for _, p := range s.processes {
+			if k.intN(3) == 0 {
+				mode := cutMode(1 + k.intN(5))
+				cuts.Go(func() { s.cutStore(p.name, mode, 6*time.Second) })
+			}
+		}
+		cuts.Wait()
+	case "coreCut":
+		s.cutStore(entry, cutMode(1+k.intN(5)), time.Duration(1000+k.intN(4500))*time.Millisecond)
+	case "slowKill":
+		s.store.SetFaults(standin.StoreFaults{Delay: 60 * time.Millisecond})
+		s.sleep(time.Duration(1000+k.intN(1000)) * time.Millisecond)
+		entry = k.holder(entry)
+		s.kill(entry)
+		s.sleep(2 * time.Second)
+		s.store.SetFaults(standin.StoreFaults{Delay: 4 * time.Millisecond})
+		_ = s.launch(s.process(entry))
 	case "drain":
 		cfg := x.cfg
 		x.drain(3 * time.Second)
@@ -160,6 +245,23 @@
 	}
 }
 
+// take reserves a machine for a disruption.
+func (k *soak) take(machine string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.busy[machine] {
+		return false
+	}
+	k.busy[machine] = true
+	return true
+}
+
+func (k *soak) release(machine string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.busy, machine)
+}
+
 // fault injects faults of the store for a time.
 func (k *soak) fault(f standin.StoreFaults, d time.Duration) {
 	k.s.store.SetFaults(f)
@@ -228,22 +330,33 @@
 	s := k.s
 	j := &soakJob{queue: []string{"short", "long"}[k.intN(2)]}
 	work := 30 + k.intN(300)
-	cpu := 200 + k.intN(1500)
+	cpu := k.scale * (200 + k.intN(1500))
 	st := step{Count: 1 + k.intN(4), CPU: cpu, MemMB: 64, EstRuntimeMs: work}
 	spec := fmt.Sprintf("work=%d cpu=%d n=%d", work, cpu, k.intN(1<<30))
-	switch kind := k.intN(20); {
-	case kind < 5:
+	switch kind := k.mix[k.intN(len(k.mix))]; kind {
+	case "after":
 		j.body.Steps = []step{st, {Count: 2, CPU: cpu, MemMB: 64, EstRuntimeMs: work, After: []int{0}}}
-	case kind == 5:
+	case "fails":
 		spec += " fails"
-	case kind == 6:
+		st.Count = 1 + k.intN(2)
+	case "gang":
+		st.Gang = true
+	case "gangAfter":
 		st.Gang = true
-	case kind == 7:
+		j.body.Steps = []step{st, {Count: 2, CPU: cpu, MemMB: 64, EstRuntimeMs: work, After: []int{0}, Gang: true}}
+	case "label":
 		st.Label, spec = "b", spec+" label=b"
-	case kind < 10:
+	case "spread":
+		st.Count, st.MaxPerServer = 4, 1
+	case "saves":
 		work = 2000 + k.intN(4000)
 		spec = fmt.Sprintf("work=%d cpu=%d saves n=%d", work, cpu, k.intN(1<<30))
 		st.EstRuntimeMs, st.Checkpointing, st.Count = work, true, 1
+	case "timed":
+		j.body.RunCount, j.body.FirstRunMs, j.body.IntervalMs = 1+k.intN(6), time.Now().UnixMilli()+int64(k.intN(3000)), int64(200+k.intN(2000))
+	case "lasts":
+		spec = fmt.Sprintf("lasts cpu=%d saves n=%d", cpu, k.intN(1<<30))
+		j.body.LongRunning, st.Checkpointing = true, true
 	}
 	if j.body.Steps == nil {
 		j.body.Steps = []step{st}
@@ -271,7 +384,7 @@
 	if j.acceptedAt.IsZero() {
 		return
 	}
-	cancels := k.intN(10) == 0
+	cancels := k.intN(10) == 0 || j.body.LongRunning && k.intN(3) > 0
 	if k.intN(20) == 0 {
 		go func() {
 			s.sleep(time.Duration(k.intN(3000)) * time.Millisecond)
@@ -279,6 +392,9 @@
 		}()
 	}
 	s.sleep(time.Duration(work+k.intN(800)) * time.Millisecond)
+	if j.body.RunCount > 0 {
+		s.sleep(time.Until(time.UnixMilli(j.body.FirstRunMs + int64(j.body.RunCount)*j.body.IntervalMs)))
+	}
 	for range 8 {
 		if cancels {
 			j.cancelSent = true
@@ -349,6 +465,9 @@
 			if e.work.label != "" && !contains(e.labels, e.work.label) {
 				add("ROUTE %s run %d at %s on %s %v", e.task, e.run, at(e.start), e.executor, e.labels)
 			}
+			if !k.s.cfg.executors[0].guards && e.usedCPU > e.cpu {
+				add("LIMIT %s run %d at %s on %s: %d of %d", e.task, e.run, at(e.start), e.machine, e.usedCPU, e.cpu)
+			}
 			if e.draining > 2*time.Second {
 				add("DRAIN %s run %d at %s, %v after the ack", e.task, e.run, at(e.start), e.draining)
 			}
@@ -373,7 +492,7 @@
 		doneTasks := 0
 		for task, es := range byTask {
 			sort.Slice(es, func(a, b int) bool { return es[a].start.Before(es[b].start) })
-			failed := 0
+			failed, failedAll := 0, 0
 			var doneSeen, done bool
 			for i, e := range es {
 				if failed >= k.s.cfg.maxAttempts {
@@ -387,7 +506,10 @@
 						add("TWICE %s run %d on %s from %s to %s (%s), run %d on %s from %s", task, e.run, e.machine, at(e.start), at(e.end), e.how, o.run, o.machine, at(o.start))
 					}
 				}
-				if e.how == "failed" && e.seen {
+				if e.how == "failed" {
+					failedAll++
+				}
+				if e.how == "failed" && e.seen && !j.body.LongRunning {
 					failed++
 				}
 				done = done || e.how == "done"
@@ -396,9 +518,16 @@
 			if done {
 				doneTasks++
 			}
-			if strings.Split(task, ".")[2] == "1" {
+			name := strings.Split(task, ".")
+			if j.body.RunCount > 0 {
+				occurrence, _ := strconv.ParseInt(name[1], 10, 64)
+				if due := time.UnixMilli(j.body.FirstRunMs + occurrence*j.body.IntervalMs); es[0].start.Before(due.Add(-250 * time.Millisecond)) {
+					add("ORDER %s starts %v before its time", task, due.Sub(es[0].start))
+				}
+			}
+			if name[2] == "1" {
 				for n := range j.body.Steps[0].Count {
-					first := fmt.Sprintf("%s.0.0.%d", j.id, n)
+					first := fmt.Sprintf("%s.%s.0.%d", j.id, name[1], n)
 					ok := j.body.Steps[0].Gang
 					for _, e := range byTask[first] {
 						ok = ok || e.how == "done" && e.end.Before(es[0].start)
@@ -408,13 +537,13 @@
 					}
 				}
 			}
-			if j.ended == "failed" && failed >= k.s.cfg.maxAttempts {
+			if j.ended == "failed" && failedAll >= k.s.cfg.maxAttempts {
 				doneTasks = -1000
 			}
 		}
 		total := 0
 		for _, st := range j.body.Steps {
-			total += st.Count
+			total += st.Count * max(j.body.RunCount, 1)
 		}
 		switch {
 		case j.acceptedAt.IsZero():
@@ -424,9 +553,17 @@
 			add("LOST %s failed without cause", j.id)
 		case j.ended == "cancelled" && !j.cancelSent:
 			add("LOST %s cancelled without cause", j.id)
+		case j.body.LongRunning && j.cancelAt.IsZero() && !j.cancelSent:
+			if n := len(k.s.journal.runningTasks(j.id)); n < total {
+				add("LOST %s has %d of %d tasks that last at work, state %q", j.id, n, total, j.ended)
+			}
+		case j.body.LongRunning && j.cancelAt.IsZero():
 		case j.ended == "":
 			add("LOST %s has not ended, %d runs, spec %s", j.id, len(runs), j.body.Spec)
 		}
 	}
+	sort.SliceStable(broken, func(a, b int) bool {
+		return !strings.HasPrefix(broken[a], "LOST") && strings.HasPrefix(broken[b], "LOST")
+	})
 	return broken
 }
