--- a/review/.driver-2/executor.go
+++ b/review/.driver-2/executor.go
@@ -66,6 +66,8 @@
 
 	failing   bool          // all that it starts fails, while its heartbeats are good
 	unwell    bool          // it refuses starts with 503
+	hanging   bool          // runs make no progress and don't end
+	mute      bool          // it carries out no call and answers none
 	lateShare float64       // of the orders, which get no answer and are carried out late
 	drainFor  time.Duration // how long it drains before it leaves; 0 if that is not told
 	drainAt   time.Time
@@ -208,6 +210,20 @@
 	x.rec.line("%s: executor fails all that it starts: %v", x.name, f)
 }
 
+func (x *executor) setHanging(h bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.hanging = h
+	x.rec.line("%s: tasks stand still: %v", x.name, h)
+}
+
+func (x *executor) setMute(m bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.mute = m
+	x.rec.line("%s: executor answers no call: %v", x.name, m)
+}
+
 func (x *executor) setUnwell(u bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -256,6 +272,23 @@
 			return
 		}
 		x.mu.Lock()
+		for x.mute && x.up {
+			x.mu.Unlock()
+			select {
+			case <-time.After(5 * time.Millisecond):
+			case <-r.Context().Done():
+				// A half of the calls that were given up is carried out all the same.
+				if rand.IntN(2) == 0 {
+					return
+				}
+				time.Sleep(rand.N(2 * time.Second))
+			}
+			x.mu.Lock()
+		}
+		if !x.up {
+			x.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if x.lateShare > 0 && rand.Float64() < x.lateShare {
 			life := x.life
 			x.mu.Unlock()
@@ -374,6 +407,10 @@
 	if life != x.life || !x.up || !ok || r.run != run {
 		return
 	}
+	if x.hanging {
+		r.timer = time.AfterFunc(100*time.Millisecond, func() { x.finish(life, task, run) })
+		return
+	}
 	if r.fails {
 		x.end(task, "failed")
 		return
@@ -449,7 +486,11 @@
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range x.running {
 		r.save(x.journal, task, false)
-		running = append(running, []any{task, r.run, r.saved, r.percent(), r.work.needed})
+		percent := r.percent()
+		if x.hanging {
+			percent = min(percent, 40)
+		}
+		running = append(running, []any{task, r.run, r.saved, percent, r.work.needed})
 	}
 	for _, e := range x.ends[:min(len(x.ends), maxListed)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
--- a/review/.driver-2/main.go
+++ b/review/.driver-2/main.go
@@ -38,6 +38,7 @@
 	"reborn":    {rebornConfig, playReborn},
 	"unstarted": {unstartedConfig, playUnstarted},
 	"gang":      {gangConfig, playGang},
+	"replicas":  {replicasConfig, playReplicas},
 	"budget":    {budgetConfig, playBudget},
 	"soak":      {soakConfig, playSoak},
 	"soakOpen":  {soakOpenConfig, playSoak},
@@ -48,14 +49,15 @@
 	recordPath := flag.String("record", "record.txt", "file for the record of the play")
 	trouble := flag.Bool("trouble", true, "bring the disruption about")
 	logDir := flag.String("logs", "", "folder in which the logs of the processes are kept; none if empty")
+	limit := flag.Duration("limit", playLimit, "bound of the play with the start and the end of its processes")
 	flag.Parse()
-	os.Exit(run(*name, *recordPath, *logDir, *trouble))
+	os.Exit(run(*name, *recordPath, *logDir, *trouble, *limit))
 }
 
-// playLimit bounds a play with the start and the end of its processes.
+// playLimit is the default bound of a play.
 const playLimit = 110 * time.Second
 
-func run(name, recordPath, logDir string, trouble bool) int {
+func run(name, recordPath, logDir string, trouble bool, limit time.Duration) int {
 	c, ok := plays[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
@@ -63,7 +65,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, playLimit)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	rec, err := newRecord(recordPath)
 	if err != nil {
--- a/review/.driver-2/soak.go
+++ b/review/.driver-2/soak.go
@@ -56,7 +56,7 @@
 }
 
 // soakKinds are the disruptions to choose from; the environment variable SOAK_KINDS names others.
-const soakKinds = "killEntry killEntry freezeEntry termEntry killAgent freezeAgent termAgent crash crashNewID grey unwell late storeDown storeSlow storeLost storeLate storeSome coreCut coreCut drain killTwo killAllEntries killAll freezeAgents"
+const soakKinds = "killEntry killEntry freezeEntry termEntry killAgent freezeAgent termAgent crash crashNewID grey hang mute mute unwell late storeDown storeSlow storeLost storeLate storeSome coreCut coreCut drain killTwo killAllEntries killAll freezeAgents"
 
 // soakMix are the kinds of job to choose from; the environment variable SOAK_MIX names others.
 const soakMix = "plain plain plain after after fails gang gangAfter label spread saves saves timed timed lasts"
@@ -119,7 +119,7 @@
 	}
 	n := k.intN(len(s.executors))
 	agent, x := fmt.Sprintf("side-%d", n+1), s.executors[n]
-	for _, of := range []struct{ kind, thing string }{{"Entry", entry}, {"Two", entry}, {"Agent", agent}, {"crash", agent}, {"drain", agent}, {"grey", agent}, {"unwell", agent}, {"store", "store"}, {"late", "late"}, {"All", "entry-1"}, {"All", "entry-2"}, {"All", "entry-3"}} {
+	for _, of := range []struct{ kind, thing string }{{"Entry", entry}, {"Two", entry}, {"Agent", agent}, {"crash", agent}, {"drain", agent}, {"grey", agent}, {"unwell", agent}, {"hang", agent}, {"mute", agent}, {"store", "store"}, {"late", "late"}, {"All", "entry-1"}, {"All", "entry-2"}, {"All", "entry-3"}} {
 		if strings.Contains(kind, of.kind) {
 			if !k.take(of.thing) {
 				return
@@ -199,6 +199,14 @@
 		x.setUnwell(true)
 		s.sleep(5 * time.Second)
 		x.setUnwell(false)
+	case "hang":
+		x.setHanging(true)
+		s.sleep(5 * time.Second)
+		x.setHanging(false)
+	case "mute":
+		x.setMute(true)
+		s.sleep(time.Duration(100+k.intN(3000)) * time.Millisecond)
+		x.setMute(false)
 	case "late":
 		for _, x := range s.executors {
 			x.setLate(0.05)
@@ -354,6 +362,14 @@
 		st.EstRuntimeMs, st.Checkpointing, st.Count = work, true, 1
 	case "timed":
 		j.body.RunCount, j.body.FirstRunMs, j.body.IntervalMs = 1+k.intN(6), time.Now().UnixMilli()+int64(k.intN(3000)), int64(200+k.intN(2000))
+	case "wide":
+		st.Count, st.CPU = 100+k.intN(300), 100
+		spec = fmt.Sprintf("work=%d cpu=100 n=%d", work, k.intN(1<<30))
+	case "loose":
+		j.body.BestEffort = true
+	case "looseWide":
+		j.body.BestEffort = true
+		st.Count = 8 + k.intN(24)
 	case "lasts":
 		spec = fmt.Sprintf("lasts cpu=%d saves n=%d", cpu, k.intN(1<<30))
 		j.body.LongRunning, st.Checkpointing = true, true
@@ -366,8 +382,12 @@
 	k.mu.Lock()
 	k.jobs = append(k.jobs, j)
 	k.mu.Unlock()
+	deadline := clientDeadline
+	if j.body.BestEffort && k.intN(2) == 0 {
+		deadline = 5 * time.Second
+	}
 	for range 4 {
-		r := s.call(k.intN(s.cfg.entries), "POST", j.queue, j.id, j.body, clientDeadline)
+		r := s.call(k.intN(s.cfg.entries), "POST", j.queue, j.id, j.body, deadline)
 		k.mu.Lock()
 		j.attempts++
 		if r.status/100 == 2 {
@@ -381,7 +401,7 @@
 		}
 		s.sleep(1300 * time.Millisecond)
 	}
-	if j.acceptedAt.IsZero() {
+	if j.acceptedAt.IsZero() || j.body.BestEffort {
 		return
 	}
 	cancels := k.intN(10) == 0 || j.body.LongRunning && k.intN(3) > 0
@@ -443,7 +463,7 @@
 	t0 := k.s.rec.start
 	at := func(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(t0).Seconds()) }
 	for _, j := range k.jobs {
-		if !j.acceptedAt.IsZero() {
+		if !j.acceptedAt.IsZero() && !j.body.BestEffort {
 			for range 3 {
 				if k.see(j, k.intN(k.s.cfg.entries)) {
 					break
@@ -495,10 +515,10 @@
 			failed, failedAll := 0, 0
 			var doneSeen, done bool
 			for i, e := range es {
-				if failed >= k.s.cfg.maxAttempts {
+				if failed >= k.s.cfg.maxAttempts && !j.body.BestEffort {
 					add("BUDGET %s run %d starts at %s after %d failed runs", task, e.run, at(e.start), failed)
 				}
-				if doneSeen {
+				if doneSeen && !j.body.BestEffort {
 					add("TWICE %s run %d starts at %s after a run was done", task, e.run, at(e.start))
 				}
 				for _, o := range es[i+1:] {
@@ -546,7 +566,7 @@
 			total += st.Count * max(j.body.RunCount, 1)
 		}
 		switch {
-		case j.acceptedAt.IsZero():
+		case j.acceptedAt.IsZero(), j.body.BestEffort:
 		case j.ended == "completed" && doneTasks != total && !j.body.Steps[0].Gang:
 			add("MIXED %s completed with %d of %d tasks done", j.id, doneTasks, total)
 		case j.ended == "failed" && doneTasks >= 0:
