Kill the entry that holds the tenure in each round of the budget case

The driver named the wrong entry from the second round on, as other entries log its incarnation too.

--- a/review/.driver-2/budget.go
+++ b/review/.driver-2/budget.go
@@ -39,8 +39,10 @@
 		if err != nil {
 			return "", err
 		}
-		if strings.Contains(string(raw), `"life":"`+v.Life+`"`) {
-			return name, nil
+		for line := range strings.SplitSeq(string(raw), "\n") {
+			if strings.Contains(line, `"life":"`+v.Life+`"`) && strings.Contains(line, `"entry started"`) {
+				return name, nil
+			}
 		}
 	}
 	return "", errors.New("the entry that holds the tenure is not known")
