Show that a start on its way to a lost executor is never decided

Tried: one of eight executors is lost for good (srv_crash, silent) while short stored jobs come; its agent lives.

Cause as far as known: the agent waits for a list of the executor for a start without an answer, and does not end it with its lease.

--- a/review/.driver-2/executor.go
+++ b/review/.driver-2/executor.go
@@ -66,6 +66,7 @@
 
 	failing   bool          // all that it starts fails, while its heartbeats are good
 	unwell    bool          // it refuses starts with 503
+	gone      bool          // lost for good
 	hanging   bool          // runs make no progress and don't end
 	mute      bool          // it carries out no call and answers none
 	lateShare float64       // of the orders, which get no answer and are carried out late
@@ -171,6 +172,9 @@
 		x.journal.end(r.entry, "crashed")
 		delete(x.running, task)
 	}
+	if x.gone {
+		return
+	}
 	x.rec.line("%s: executor %s crashes", x.name, x.cfg.id)
 }
 
@@ -242,7 +246,7 @@
 func (x *executor) load() (capacity, used int, up bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.cfg.cpu, x.used(), x.up
+	return x.cfg.cpu, x.used(), x.up && !x.gone
 }
 
 func (x *executor) clock() int64 { return time.Since(x.started).Milliseconds() + 1000 }
@@ -272,6 +276,11 @@
 			return
 		}
 		x.mu.Lock()
+		if x.gone {
+			x.mu.Unlock()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		for x.mute && x.up {
 			x.mu.Unlock()
 			select {
--- a/review/.driver-2/main.go
+++ b/review/.driver-2/main.go
@@ -40,6 +40,7 @@
 	"gang":      {gangConfig, playGang},
 	"replicas":  {replicasConfig, playReplicas},
 	"budget":    {budgetConfig, playBudget},
+	"vanished":  {vanishedConfig, playVanished},
 	"soak":      {soakConfig, playSoak},
 	"soakOpen":  {soakOpenConfig, playSoak},
 }
