Process ends of stored jobs again when their home takes the ledger back

Cause: a home that loses the ledger forgets its stored jobs and leaves their ends to the next holder. If no agent meets that holder and the home takes the ledger back, the agents report the ends under the numbers that the home has already taken. It passed over them and, as the confirmation of the new tenure clears what it retains, let the agents drop them.

Evidence: seven of eight agents confirm epoch 277 with an end that was not saved; side-5 reports 3 events up to number 31, and the home has taken 31. All seven tasks start again at once. No lease had lapsed.

The report that confirms a tenure is whole, so all ends of stored jobs in it are processed, whatever their numbers. Ends that come before the confirmation are only left: one of them could be committed under the new tenure and then be acknowledged by the confirmation before the commit. The log line tenureConfirmed counts the ends that were taken before.

Failed before: TestEndsRunAgainAfterTheLedgerIsBack, both cases ("2 starts at a, want 1", "acknowledged 1 before the end was committed"), and TestStoredJobsUnderFaults/home paused, the next holder killed, 3 of 3 runs (2 or 3 tasks started after they were done).

--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"masticbay/ledger"
+	"masticbay/platform"
 	"masticbay/platform/standin"
 	"masticbay/work"
 )
@@ -203,6 +205,34 @@
 		s.startEntry(h)
 		s.store.SetFaults(standin.StoreFaults{})
 	}},
+	// The former home takes the ledger back, and no agent has met the holder between.
+	{"home paused, the next holder killed", 0, func(s *fleet) {
+		h := s.home()
+		client := platform.NewStore("store", s.dial("caller"))
+		defer client.Close()
+		before, _, err := client.Get(s.ctx, ledger.TenureKey)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.network.pause(fmt.Sprint("e", h), true)
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if after, _, err := client.Get(s.ctx, ledger.TenureKey); err == nil && after.Revision != before.Revision {
+				break
+			}
+		}
+		for i := range fleetEntries {
+			if i != h {
+				s.entry(i).Kill()
+			}
+		}
+		s.network.pause(fmt.Sprint("e", h), false)
+		time.Sleep(3200 * time.Millisecond)
+		for i := range fleetEntries {
+			if i != h {
+				s.startEntry(i)
+			}
+		}
+	}},
 }
 
 // minAccepted returns how many of a hundred jobs must be accepted: half, since
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -86,10 +86,13 @@
 		c.assignRack(t)
 	}
 	c.reportCold(now, t, r.ColdLeft)
-	changed = c.adopt(now, t, r) || changed
+	confirmed := c.adopt(now, t, r)
+	changed = confirmed || changed
 	for _, e := range r.Events {
-		if e.Seq > t.lastSeq {
-			t.lastSeq = e.Seq
+		// Ends that were taken before the confirmation were left to the next holder, which may be
+		// this home again.
+		if e.Seq > t.lastSeq || confirmed && e.Stored {
+			t.lastSeq = max(t.lastSeq, e.Seq)
 			c.applyEvent(now, t, e)
 		}
 	}
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -168,14 +168,14 @@
 // whether the agent confirms the tenure with this report.
 func (c *Core) adopt(now time.Time, t *target, r *Report) bool {
 	if r.Epoch > c.highestEpoch || r.Epoch == c.tenure.Epoch && t.confirmedEpoch != r.Epoch && r.Asked {
-		t.uncommitted = nil // the agent reports these ends to the holder, maybe once more
+		t.uncommitted = nil // the agent reports these ends to the holder, once more if that is this home
 	}
 	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.confirmedEpoch == r.Epoch || !r.Asked {
 		return false
 	}
 	t.confirmedEpoch = r.Epoch
 	c.addNote(Note{Agent: t.agent, Kind: "tenureConfirmed", Reason: "the agent obeys this home for stored jobs", Values: map[string]float64{
-		"epoch": float64(r.Epoch), "runs": float64(len(r.Kept)), "events": float64(len(r.Events)), "taken": float64(t.lastSeq),
+		"epoch": float64(r.Epoch), "runs": float64(len(r.Kept)), "events": float64(len(r.Events)), "endsTakenAgain": float64(t.countTaken(r.Events)), "taken": float64(t.lastSeq),
 	}})
 	for _, k := range r.Kept {
 		j, ok := c.jobs[k.Run.Task.Job]
@@ -189,6 +189,17 @@
 	return true
 }
 
+// countTaken returns how many of the events are ends of runs of stored jobs that were taken
+// before.
+func (t *target) countTaken(events []Event) (n int) {
+	for _, e := range events {
+		if e.Stored && e.Seq <= t.lastSeq {
+			n++
+		}
+	}
+	return n
+}
+
 // commitEnd has the end of a run committed before its agent may discard the event.
 func (c *Core) commitEnd(t *target, e *Event) {
 	c.decisions.RunEnds = append(c.decisions.RunEnds, RunEnd{Agent: t.agent, Life: t.life, Seq: e.Seq, Run: e.Run, End: e.End})
@@ -205,10 +216,11 @@
 
 // adoptEnded adopts a run that ended before its agent reported it as inherited, and
 // reports whether it did. A failure that the ledger has is reported again if the home was
-// lost before it acknowledged the event.
+// lost before it acknowledged the event. Until the agent has confirmed the tenure, its ends
+// are left; the report that confirms it lists them again.
 func (c *Core) adoptEnded(now time.Time, t *target, e *Event) bool {
 	j, ok := c.jobs[e.Run.Task.Job]
-	if !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || !c.awaitsPlacement(j, e.Run.Task) {
+	if t.confirmedEpoch == 0 || !ok || !j.Stored || e.End != work.Done && e.End != work.Failed || !c.awaitsPlacement(j, e.Run.Task) {
 		return false
 	}
 	if e.End == work.Failed && slices.Contains(j.tasks[j.Slot(e.Run.Task)][e.Run.Task.Index].failedRuns, e.Run.Number) {
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -28,7 +28,12 @@
 		h.seq[name]++
 		events[i].Seq, events[i].Stored = h.seq[name], true
 	}
-	h.c.Report(h.now, name, &schedule.Report{Life: "1", Target: h.agents[name], Ready: true, Settled: true, Epoch: epoch, Asked: true, Kept: kept, Events: events})
+	h.reportAgain(name, epoch, true, kept, events...)
+}
+
+// reportAgain lets an agent report events that keep their sequence numbers.
+func (h *harness) reportAgain(name string, epoch uint64, asked bool, kept []schedule.Kept, events ...schedule.Event) {
+	h.c.Report(h.now, name, &schedule.Report{Life: "1", Target: h.agents[name], Ready: true, Settled: true, Epoch: epoch, Asked: asked, Kept: kept, Events: events})
 	h.collect()
 }
 
@@ -239,3 +244,34 @@
 		}
 	}
 }
+
+// TestEndsRunAgainAfterTheLedgerIsBack guards against a task that runs again although it has
+// ended, since its home lost the ledger before the end was committed and took it back from a
+// holder that the agent never met.
+func TestEndsRunAgainAfterTheLedgerIsBack(t *testing.T) {
+	for name, reportedEarly := range map[string]bool{"reported on confirmation": false, "reported before": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newTenureHarness(t, 4, "a")
+			h.restore("j", 1)
+			done := schedule.Event{Run: h.starts["a"][0], End: work.Done, Seq: 1, Stored: true}
+			h.reportAgain("a", 1, false, nil, done)
+			h.setTenure(0)
+			h.setTenure(3, "a")
+			h.outcomes = make(map[string]work.Outcome)
+			h.restore("j", 1) // the ledger does not have the end
+			if reportedEarly {
+				h.reportAgain("a", 3, false, nil, done)
+			}
+			h.reportAgain("a", 3, true, nil, done)
+			h.wantOutcome("j", work.Completed)
+			h.wantStarts("a", 1)
+			if got := h.c.Acked("a"); got != 0 {
+				t.Errorf("acknowledged %d before the end was committed, want 0", got)
+			}
+			h.c.EventCommitted("a", "1", done.Seq)
+			if got := h.c.Acked("a"); got != done.Seq {
+				t.Errorf("acknowledged %d after the end was committed, want %d", got, done.Seq)
+			}
+		})
+	}
+}
