Stop renewing the lease of a worker that is out of contact

Best-effort runs are declared lost only 0.64 s after their home has stopped them, at the earliest 1.7 s after their start.

Cause: a run on a worker that does not answer counts as lost once every lease that was requested has expired. Each poll to that worker requests a new one, which the worker may be granting, so that moment moves on with the polls. The lease is withheld while a stop is overdue, but not for runs of stored jobs, whose ends it would void.

Evidence: side-4 logs that its worker does not answer at 21.144 s and never logs an end; a Guard whose polls fail for 5 s retains the run, whether its start was answered or not.

The lease is not requested while the worker is out of contact, that is, after 250 ms without an answered poll or once nothing listens at its address. Its runs are lost 0.64 s after the last request. The first answered poll renews the lease again; a worker that answers within 0.6 s of the last request keeps its runs.

Failed before: TestUnansweredPollsRenewTheLease ("no event, want lapsed"), TestRenewalStaysOffAfterContact, and in TestStoredJobsUnderFaults "worker removed for good without notice" (3 jobs open after 20 s).

--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -205,6 +205,10 @@
 		s.startEntry(h)
 		s.store.SetFaults(standin.StoreFaults{})
 	}},
+	{"worker removed for good without notice", 0, func(s *fleet) {
+		s.workers[1].DrainFor(0)
+		s.network.refuse("a1", "w1", true)
+	}},
 	// The former home takes the ledger back, and no agent has met the holder between.
 	{"home paused, the next holder killed", 0, func(s *fleet) {
 		h := s.home()
--- /dev/null
+++ b/worker/contact_test.go
@@ -0,0 +1,63 @@
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/work"
+	"masticbay/worker"
+)
+
+// loseWorker lets polls renew the lease and fail for a while, as the worker answers none, while
+// the home stays in contact. It returns when the last lease was requested.
+func (d *driver) loseWorker(span time.Duration) (lastRenewal time.Time) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.g.RecordContact(d.now, "e1", d.now)
+		d.g.ApplyTenure(d.now, "e1", worker.Tenure{Epoch: 1, RenewedAt: d.now})
+		if d.g.LeaseUntil(d.now) > 0 {
+			lastRenewal = d.now
+		}
+		d.advance(10 * time.Millisecond)
+		d.g.PollFailed(d.now)
+		d.g.Tick(d.now)
+	}
+	return lastRenewal
+}
+
+// startOf returns the start of the run of loseWorker's tests.
+func startOf(stored bool) work.Start {
+	s := start(0, 1, 10)
+	s.Stored = stored
+	return s
+}
+
+// TestUnansweredPollsRenewTheLease guards against a run that never ends, as its worker is lost for
+// good and each poll to it renews the lease that has to expire.
+func TestUnansweredPollsRenewTheLease(t *testing.T) {
+	for _, stored := range []bool{false, true} {
+		d := newDriverWithTenure(t)
+		d.order(startOf(stored))
+		d.g.Started(d.now, run(0, 1), "", false)
+		lastRenewal := d.loseWorker(cfg.Lease)
+		if n := len(d.g.Events("e1", 0)); n != 0 {
+			t.Fatalf("stored %t: the run ended %v after the last renewal, before its lease", stored, d.now.Sub(lastRenewal))
+		}
+		d.loseWorker(cfg.WorkerContactTimeout + cfg.Lease/10)
+		d.lastEvent(work.Lapsed)
+	}
+}
+
+// TestRenewalStaysOffAfterContact guards against a worker that answers again and gets no lease.
+func TestRenewalStaysOffAfterContact(t *testing.T) {
+	d := newDriverWithTenure(t)
+	d.order(startOf(false))
+	d.g.Started(d.now, run(0, 1), "", false)
+	d.loseWorker(2 * cfg.WorkerContactTimeout)
+	if until := d.g.LeaseUntil(d.now); until != 0 {
+		t.Errorf("lease until %v requested from a worker that is out of contact", until)
+	}
+	d.answerPoll(10, run(0, 1))
+	if until, want := d.g.LeaseUntil(d.now), d.clock+cfg.Lease; until != want {
+		t.Errorf("lease until %v after the worker has answered, want %v", until, want)
+	}
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -228,10 +228,11 @@
 }
 
 // LeaseUntil returns the end of the lease, on the worker's clock, for a call that is
-// sent now. It returns 0 while the lease is not renewed.
+// sent now. It returns 0 while the lease is not renewed. A worker out of contact may still
+// carry out each renewal that is sent, and its runs could not be declared lost.
 func (g *Guard) LeaseUntil(now time.Time) time.Duration {
 	g.updateWithheld(now)
-	if g.workerClock == 0 || !g.settledOnce || g.withheld || !g.renewalPausedAt.IsZero() {
+	if g.workerClock == 0 || !g.settledOnce || g.outOfContact || g.withheld || !g.renewalPausedAt.IsZero() {
 		return 0
 	}
 	elapsed := time.Duration(float64(now.Sub(g.clockReadAt)) / maxClockDrift) // a fast estimate would lengthen the lease
