Decide on an unanswered start when no order can be under way any more

Callers of stored jobs would see a job as running for ever if its start was on its way to a worker that was lost for good, while its agent lives (LOST).

Cause: a start without an answer is decided by a poll under a higher token, and a lost worker answers none. The end of its lease is no proof: the order may still reach the worker after a restart, when its clock has begun anew.

Evidence: with leases that expire, one job of 100 is still open 20 s after it was accepted in "worker lost for good" of TestStoredJobsUnderFaults.

Such a start is decided after the time in which workers carry out orders (12 s) and the longest lease, from the last order to the worker on: its start, or a request of a lease that would extend the run. TestUnansweredStartIsDecidedTooLate checks that the sum, 13.4 s, is within the users' 14 s. Where the time is not known, a poll decides as before, and TestUnansweredStartReachesRestartedWorker is unchanged.

The agent's line "worker does not answer" tells the number of its runs.

--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -205,6 +205,18 @@
 		s.startEntry(h)
 		s.store.SetFaults(standin.StoreFaults{})
 	}},
+	{"worker lost for good", 0, func(s *fleet) { s.cutFor("a1", "w1", time.Hour) }},
+	{"worker restarts and is lost for good", 0, func(s *fleet) {
+		s.workers[1].Crash()
+		time.Sleep(5 * time.Millisecond)
+		s.cutFor("a1", "w1", time.Hour)
+	}},
+	{"worker lost for good, its agent restarts", 0, func(s *fleet) {
+		s.cutFor("a1", "w1", time.Hour)
+		s.agent(1).Kill()
+		time.Sleep(500 * time.Millisecond)
+		s.startAgent(1)
+	}},
 	{"worker removed for good without notice", 0, func(s *fleet) {
 		s.workers[1].DrainFor(0)
 		s.network.refuse("a1", "w1", true)
--- a/site/agent.go
+++ b/site/agent.go
@@ -334,7 +334,7 @@
 	}
 	a.workerDown = isDown
 	if isDown {
-		a.log.Warn().Err(err).Msg("worker does not answer")
+		a.log.Warn().Err(err).Int("runs", a.guard.Running()).Msg("worker does not answer")
 		return
 	}
 	a.log.Info().Msg("worker answers")
--- a/site/site.go
+++ b/site/site.go
@@ -65,6 +65,7 @@
 	workerContactTimeout    = 250 * time.Millisecond            // a worker that has answered no poll for this long gets no new task
 	stallAge                = 250 * time.Millisecond            // a run without progress for this long counts as stalled
 	orderTimeout            = 60 * time.Millisecond             // after which a start counts as unanswered; answers take 2 ms
+	orderDelay              = 12 * time.Second                  // within which a worker carries out an order that it does not answer
 	leaseEndsAfter          = workerLease + 40*time.Millisecond // the worker's clock may be 2% slow
 	workerStopTime          = 100 * time.Millisecond            // in which a worker carries out a stop, one lost message included; the lease is not renewed after it
 	agentTickInterval       = stopRunsAfter / 4
@@ -154,7 +155,7 @@
 
 // GuardConfig returns the limits of an agent's guard.
 func GuardConfig(n *platform.Node) worker.Config {
-	return worker.Config{Lease: workerLease, LongestLease: n.MaxWorkerLease, EntryContactTimeout: stopRunsAfter, StopTime: workerStopTime, HolderContactTimeout: stopStoredRunsAfter, OrderMaxAge: orderMaxAge, EventRetention: peerRetention, SealRetention: sealRetention, WorkerContactTimeout: workerContactTimeout, TenureMaxAge: tenureDuration, StallAge: stallAge}
+	return worker.Config{Lease: workerLease, LongestLease: n.MaxWorkerLease, EntryContactTimeout: stopRunsAfter, StopTime: workerStopTime, HolderContactTimeout: stopStoredRunsAfter, OrderMaxAge: orderMaxAge, EventRetention: peerRetention, SealRetention: sealRetention, WorkerContactTimeout: workerContactTimeout, OrderDelay: orderDelay, TenureMaxAge: tenureDuration, StallAge: stallAge}
 }
 
 // HomeConfig returns the limits of a home's scheduler core.
--- a/site/times_test.go
+++ b/site/times_test.go
@@ -50,3 +50,18 @@
 		}
 	}
 }
+
+// finishTime is the users' bound on the time from the end of the load until every accepted job runs
+// or has ended.
+const finishTime = 14 * time.Second
+
+// TestUnansweredStartIsDecidedTooLate guards against a task whose start was on its way to a lost
+// worker, and which is still waiting when the users ask for it.
+func TestUnansweredStartIsDecidedTooLate(t *testing.T) {
+	const longestLease = time.Second
+	lastRenewal := workerContactTimeout + pollWait + pollSlack
+	decided := lastRenewal + orderDelay + longestLease*103/100 + agentTickInterval
+	if decided > finishTime {
+		t.Errorf("a start is decided %v after its worker was lost, later than the users' bound of %v", decided, finishTime)
+	}
+}
--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// TestUnansweredStartOutlastsItsWorker guards against a task that waits for ever, as its worker was
+// lost for good before it answered the start, also if it had just restarted.
+func TestUnansweredStartOutlastsItsWorker(t *testing.T) {
+	for _, stored := range []bool{false, true} {
+		for _, restarted := range []bool{false, true} {
+			d := newDriverWithTenure(t)
+			d.order(startOf(stored))
+			d.advance(50 * time.Millisecond)
+			if d.g.Unanswered(run(0, 1)); restarted {
+				d.born, d.clock = 8, time.Second
+				d.answerEmptyPoll(0)
+			}
+			lastRenewal := d.loseWorker(cfg.WorkerContactTimeout + cfg.OrderDelay + cfg.LongestLease)
+			if n := len(d.g.Events("e1", 0)); n != 0 {
+				t.Fatalf("stored %t, restarted %t: the run ended %v after the last order", stored, restarted, d.now.Sub(lastRenewal))
+			}
+			d.loseWorker(cfg.LongestLease / 10)
+			d.lastEvent(work.Lapsed)
+		}
+	}
+}
+
 // TestRenewalStaysOffAfterContact guards against a worker that answers again and gets no lease.
 func TestRenewalStaysOffAfterContact(t *testing.T) {
 	d := newDriverWithTenure(t)
--- a/worker/order.go
+++ b/worker/order.go
@@ -69,7 +69,7 @@
 }
 
 func (g *Guard) sendStart(now time.Time, r *run) {
-	r.phase, r.token = ordered, g.token
+	r.phase, r.token, r.sentAt = ordered, g.token, now
 	g.orders = append(g.orders, Order{Start: r.start, Token: g.token, Until: g.LeaseUntil(now)})
 }
 
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -200,20 +200,34 @@
 	g.expireRuns(now)
 }
 
-// expireRuns ends the runs once their leases have expired without renewal. A start that
-// was not answered may still reach a restarted worker, whose clock begins anew; a poll
-// decides on such runs.
+// expireRuns ends the runs once their leases have expired without renewal.
 func (g *Guard) expireRuns(now time.Time) {
 	if len(g.runs) == 0 || g.workerClock == 0 || now.Before(g.leaseExpiry()) {
 		return
 	}
 	for _, ref := range g.sortedTasks() {
-		if p := g.runs[ref].phase; p == running || p == stopping {
+		if r := g.runs[ref]; r.phase == running || r.phase == stopping || r.phase == unclear && g.lateOrderEnded(now, r) {
 			g.finish(now, ref, work.Lapsed, "worker does not answer")
 		}
 	}
 }
 
+// lateOrderEnded reports whether no worker can have a run whose start was not answered. The start
+// may still reach a restarted worker, whose clock begins anew, so that the lease in the order looks
+// valid there. It is carried out within Config.OrderDelay, and so is the last renewal, which
+// extends the lease of what runs then.
+func (g *Guard) lateOrderEnded(now time.Time, r *run) bool {
+	if g.cfg.OrderDelay == 0 {
+		return false // a poll decides
+	}
+	lastOrder := r.sentAt
+	if g.renewedAt.After(lastOrder) {
+		lastOrder = g.renewedAt
+	}
+	longestLease := time.Duration(float64(max(g.cfg.LongestLease, g.cfg.Lease)) * maxClockDrift)
+	return now.Sub(lastOrder) > g.cfg.OrderDelay+longestLease+leaseSlack
+}
+
 // StalledRuns returns the runs of an entry that are stalled.
 func (g *Guard) StalledRuns(entry string) []work.Run {
 	var stalled []work.Run
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -65,6 +65,9 @@
 	WorkerContactTimeout time.Duration // time without an answered poll after which the worker gets no task
 	TenureMaxAge         time.Duration // how long a tenure is valid after its last confirmed renewal
 	StallAge             time.Duration // shortest time without progress after which a run is stalled
+	// OrderDelay is the time within which a worker carries out an order that it does not
+	// answer. Zero means that it is not known; then only a poll decides on such a start.
+	OrderDelay time.Duration
 	// StopTime is the time within which a worker carries out a stop. After it, the lease is
 	// not renewed while the run goes on. Zero means that the lease is renewed all the same.
 	StopTime time.Duration
@@ -86,6 +89,7 @@
 	phase           phase
 	token           uint64        // with which its start was last sent
 	orderedAt       time.Time     // first start order
+	sentAt          time.Time     // last start order
 	stopRequestedAt time.Time     // last stop request
 	firstStopAt     time.Time     // first stop request
 	stopReason      string        // of the first stop request
@@ -120,6 +124,7 @@
 	workerClock      time.Duration
 	clockReadAt      time.Time     // when workerClock was read, at the latest
 	maxLeaseUntil    time.Duration // end of the longest lease that was requested, on the worker's clock
+	renewedAt        time.Time     // when a lease was last requested
 	pace             Pace
 	runs             map[work.TaskRef]*run
 	homes            map[string]*homeState
@@ -237,7 +242,7 @@
 	}
 	elapsed := time.Duration(float64(now.Sub(g.clockReadAt)) / maxClockDrift) // a fast estimate would lengthen the lease
 	until := g.workerClock + elapsed + g.cfg.Lease
-	g.maxLeaseUntil = max(g.maxLeaseUntil, until)
+	g.maxLeaseUntil, g.renewedAt = max(g.maxLeaseUntil, until), now
 	return until
 }
 
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -11,6 +11,7 @@
 var cfg = worker.Config{
 	Lease: 800 * time.Millisecond, EntryContactTimeout: 450 * time.Millisecond, HolderContactTimeout: 750 * time.Millisecond, OrderMaxAge: 400 * time.Millisecond,
 	LongestLease: time.Second, TenureMaxAge: 5 * time.Second, EventRetention: 30 * time.Second, SealRetention: time.Second, WorkerContactTimeout: 250 * time.Millisecond, StallAge: 150 * time.Millisecond,
+	OrderDelay: 12 * time.Second,
 }
 
 // driver simulates a worker and an entry around a Guard.
