Number the events of an agent on after a home was removed

An agent removes a home that was out of contact for 30 s and numbers its events from 1 when the home returns. The home forgets the agent 30 s after its own last contact, which is later, or not before its first exchange if it was frozen. Until the numbers reach those of before, it would pass over all ends of the agent and acknowledge them: their tasks never end (LOST).

The events of all homes share one number, which rises for the life of the agent.

TestEventNumbersBeginAnew failed before ("event 1 after the home has taken event 1").

--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -83,3 +83,22 @@
 		t.Errorf("lease until %v after the worker has answered, want %v", until, want)
 	}
 }
+
+// TestEventNumbersBeginAnew guards against ends that a home passes over, as the agent has removed
+// the home after a while without contact and numbers its events from the beginning.
+func TestEventNumbersBeginAnew(t *testing.T) {
+	d := newDriver(t)
+	d.startRun()
+	d.answerPollWithEnd(work.Done, run(0, 1))
+	taken := d.lastEvent(work.Done).Seq
+	d.g.Events("e1", taken)
+	d.advance(cfg.EventRetention + time.Millisecond)
+	d.g.Tick(d.now)
+	d.answerPoll(0)
+	d.order(start(1, 1, 10))
+	d.g.Started(d.now, run(1, 1), "", false)
+	d.answerPollWithEnd(work.Done, run(1, 1))
+	if got := d.lastEvent(work.Done).Seq; got <= taken {
+		t.Errorf("event %d after the home has taken event %d", got, taken)
+	}
+}
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -23,7 +23,6 @@
 type homeState struct {
 	lastContact time.Time // latest time of the agent's clock that the entry has echoed
 	events      []Event
-	lastSeq     uint64
 }
 
 // RecordContact records contact with an entry: the entry has echoed a time of the agent's clock.
@@ -45,9 +44,9 @@
 }
 
 func (g *Guard) addEvent(entry string, e Event) {
+	g.lastSeq++
+	e.Seq = g.lastSeq
 	s := g.homeState(entry)
-	s.lastSeq++
-	e.Seq = s.lastSeq
 	s.events = append(s.events, e)
 }
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -128,6 +128,7 @@
 	pace             Pace
 	runs             map[work.TaskRef]*run
 	homes            map[string]*homeState
+	lastSeq          uint64 // of the events of all homes; a home that was removed may return with what it has taken
 	orders           []Order
 	seals            map[string]sealState // by job
 	sealRequests     []sealRequest        // not answered yet, in the order of their arrival
