Count a failure of a stored job's task whichever run the task has by then

Cause: a home starts the next attempt before the failure is committed. The next home adopts that attempt; the failure before it is of another run than the present one, so it was dropped and acknowledged.

Such a failure counts as an attempt now, once for each run number, and is retained until it is committed. A home remembers the numbers of all failed runs for that, not only of those that the ledger had.

--- a/schedule/end.go
+++ b/schedule/end.go
@@ -26,6 +26,7 @@
 	}
 	if !ok || current != e.Run {
 		c.leaveToHolder(t, &e)
+		c.countEarlierFailure(now, t, &e)
 		return
 	}
 	delete(t.runs, e.Run.Task)
@@ -130,18 +131,28 @@
 
 // failTask counts a failed run of a task, and repeats the task or fails its job.
 func (c *Core) failTask(now time.Time, t *target, j *job, slot, index int) {
-	tk := &j.tasks[slot][index]
-	tk.failures++
 	c.recordFailure(now, t, j, j.currentRun(slot, index))
-	j.avoidAgent(t.agent)
-	if tk.failures >= j.Queue.MaxAttempts {
-		c.close(j, work.Outcome{State: work.JobFailed, Reason: j.currentRun(slot, index).Task.String() + " failed"})
-		c.stopAll(now, j, 0)
+	if c.countFailure(now, t, j, j.currentRun(slot, index)) {
 		return
 	}
 	c.requeue(j, slot, index)
 }
 
+// countFailure counts a failed run as an attempt of its task, and reports whether it was the last
+// one, with which the job has failed.
+func (c *Core) countFailure(now time.Time, t *target, j *job, r work.Run) (last bool) {
+	tk := j.task(r)
+	tk.failures++
+	tk.failedRuns = append(tk.failedRuns, r.Number)
+	j.avoidAgent(t.agent)
+	if tk.failures < j.Queue.MaxAttempts {
+		return false
+	}
+	c.close(j, work.Outcome{State: work.JobFailed, Reason: r.Task.String() + " failed"})
+	c.stopAll(now, j, 0)
+	return true
+}
+
 func (j *job) avoidAgent(agent string) {
 	if j.avoid == nil {
 		j.avoid = make(map[string]bool)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -60,7 +60,7 @@
 	runNumber  int    // number of the last run
 	checkpoint string // where to resume; empty for the beginning
 	failures   int
-	failedRuns []int // numbers of failed runs that were committed under an earlier home
+	failedRuns []int // numbers of the failed runs, as far as they are known
 	agent      string
 	startedAt  time.Time
 	expected   time.Duration
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -116,7 +116,7 @@
 		j.tasks[j.Slot(t)][t.Index].failures = n
 	}
 	for t, runs := range failures.Runs {
-		j.tasks[j.Slot(t)][t.Index].failedRuns = runs
+		j.tasks[j.Slot(t)][t.Index].failedRuns = slices.Clone(runs)
 	}
 	c.jobs[w.ID] = j
 	if w.Times > 0 {
@@ -230,6 +230,22 @@
 	return true
 }
 
+// countEarlierFailure counts a failed run of a stored job whose task has had another run since: an
+// earlier home was lost before it had committed the failure, or this home has taken the run for
+// lost.
+func (c *Core) countEarlierFailure(now time.Time, t *target, e *Event) {
+	j, ok := c.jobs[e.Run.Task.Job]
+	if t.confirmedEpoch == 0 || e.End != work.Failed || !ok || !j.Stored || j.Lasts || j.answered || !j.HasTask(e.Run.Task) {
+		return
+	}
+	if tk := j.task(e.Run); tk.state == done || slices.Contains(tk.failedRuns, e.Run.Number) {
+		return
+	}
+	c.addNote(Note{Job: j.ID, Agent: t.agent, Run: e.Run, Kind: "runEnded", Reason: "failed before the present run of its task"})
+	c.commitEnd(t, e)
+	c.countFailure(now, t, j, e.Run)
+}
+
 // awaitsPlacement reports whether a task is pending. A blocked task becomes pending
 // first: a previous home has started it, so the earlier steps are done, although
 // their agents have not reported that yet.
--- a/schedule/stored_test.go
+++ b/schedule/stored_test.go
@@ -275,3 +275,46 @@
 		})
 	}
 }
+
+// TestFailuresBeforeTheLedgerWasLostAreForgotten guards against a start beyond the attempts of a
+// task, since a failure was reported to its home before that lost the ledger and took it back.
+func TestFailuresBeforeTheLedgerWasLostAreForgotten(t *testing.T) {
+	h := newTenureHarness(t, 4, "a")
+	h.restore("j", 1) // of a queue with two attempts
+	failed := schedule.Event{Run: h.starts["a"][0], End: work.Failed, Seq: 1, Stored: true}
+	h.reportAgain("a", 1, false, nil, failed)
+	second := h.starts["a"][1]
+	h.setTenure(0)
+	h.setTenure(3, "a")
+	h.restore("j", 1)
+	h.reportAgain("a", 3, true, []schedule.Kept{{Run: second}}, failed)
+	h.reportAgain("a", 3, false, nil, failed, schedule.Event{Run: second, End: work.Failed, Seq: 2, Stored: true})
+	h.wantOutcome("j", work.JobFailed)
+	h.wantStarts("a", 2)
+	if got := h.c.Acked("a"); got != 0 {
+		t.Errorf("acknowledged %d before the failures were committed, want 0", got)
+	}
+}
+
+// TestFailureIsForgottenWithItsHome guards against a start beyond the attempts of a task: its home
+// was killed before it had committed a failure, and the next one adopts the run after it.
+func TestFailureIsForgottenWithItsHome(t *testing.T) {
+	h := newInheritingHarness(t, "a", "b")
+	h.restore("j", 1) // of a queue with two attempts
+	h.confirm("a", 2, nil, schedule.Event{Run: run("j", 0, 5), End: work.Failed})
+	h.confirm("b", 2, []schedule.Kept{{Run: run("j", 0, 6)}})
+	h.confirm("b", 2, nil, schedule.Event{Run: run("j", 0, 6), End: work.Failed})
+	h.wantOutcome("j", work.JobFailed)
+
+	h = newInheritingHarness(t, "a", "b")
+	h.restore("j", 1)
+	h.confirm("b", 2, []schedule.Kept{{Run: run("j", 0, 6)}})
+	h.confirm("a", 2, nil, schedule.Event{Run: run("j", 0, 5), End: work.Failed})
+	h.reportAgain("a", 2, false, nil, schedule.Event{Run: run("j", 0, 5), End: work.Failed, Seq: 1, Stored: true})
+	h.wantOutcome("j", "")
+	h.confirm("b", 2, nil, schedule.Event{Run: run("j", 0, 6), End: work.Failed})
+	h.wantOutcome("j", work.JobFailed)
+	if len(h.starts) != 0 {
+		t.Errorf("starts %v beyond the attempts, want none", h.starts)
+	}
+}
