Say in the guard when a run has certainly ended

The condition is a function by state now, hasEnded, and the comments name the reasons.

Nothing that runs has changed: the tests of worker, schedule and site pass.

--- a/schedule/report.go
+++ b/schedule/report.go
@@ -89,8 +89,8 @@
 	confirmed := c.adopt(now, t, r)
 	changed = confirmed || changed
 	for _, e := range r.Events {
-		// Ends that were taken before the confirmation were left to the next holder, which may be
-		// this home again.
+		// An end that was received before this home held the ledger was left to the next holder,
+		// which may be this home.
 		if e.Seq > t.lastSeq || confirmed && e.Stored {
 			t.lastSeq = max(t.lastSeq, e.Seq)
 			c.applyEvent(now, t, e)
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -168,7 +168,7 @@
 // whether the agent confirms the tenure with this report.
 func (c *Core) adopt(now time.Time, t *target, r *Report) bool {
 	if r.Epoch > c.highestEpoch || r.Epoch == c.tenure.Epoch && t.confirmedEpoch != r.Epoch && r.Asked {
-		t.uncommitted = nil // the agent reports these ends to the holder, once more if that is this home
+		t.uncommitted = nil // the agent reports these ends again, to the holder of the epoch
 	}
 	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.confirmedEpoch == r.Epoch || !r.Asked {
 		return false
@@ -230,9 +230,9 @@
 	return true
 }
 
-// countEarlierFailure counts a failed run of a stored job whose task has had another run since: an
-// earlier home was lost before it had committed the failure, or this home has taken the run for
-// lost.
+// countEarlierFailure counts the failure of a run that is not the present one of its task. The home
+// that started the later run was lost before it had committed the failure, or this home had taken
+// the earlier run for lost.
 func (c *Core) countEarlierFailure(now time.Time, t *target, e *Event) {
 	j, ok := c.jobs[e.Run.Task.Job]
 	if t.confirmedEpoch == 0 || e.End != work.Failed || !ok || !j.Stored || j.Lasts || j.answered || !j.HasTask(e.Run.Task) {
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -206,17 +206,29 @@
 		return
 	}
 	for _, ref := range g.sortedTasks() {
-		if r := g.runs[ref]; r.phase == running || r.phase == stopping || r.phase == unclear && g.lateOrderEnded(now, r) {
+		if g.hasEnded(now, g.runs[ref]) {
 			g.finish(now, ref, work.Lapsed, "worker does not answer")
 		}
 	}
 }
 
-// lateOrderEnded reports whether no worker can have a run whose start was not answered. The start
-// may still reach a restarted worker, whose clock begins anew, so that the lease in the order looks
-// valid there. It is carried out within Config.OrderDelay, and so is the last renewal, which
-// extends the lease of what runs then.
-func (g *Guard) lateOrderEnded(now time.Time, r *run) bool {
+// hasEnded reports whether a run has certainly ended, or will never start, once all leases have
+// expired.
+func (g *Guard) hasEnded(now time.Time, r *run) bool {
+	switch r.phase {
+	case running, stopping:
+		return true
+	case unclear:
+		return g.noOrderInTransit(now, r)
+	}
+	return false // the answer to its start is awaited
+}
+
+// noOrderInTransit reports whether it is too late for the start of a run to take effect. A worker
+// that has restarted may carry the start out long after its lease, since its clock has begun
+// anew. It does so within Config.OrderDelay of the order, and so it does the last renewal, which
+// extends the lease of the run.
+func (g *Guard) noOrderInTransit(now time.Time, r *run) bool {
 	if g.cfg.OrderDelay == 0 {
 		return false // a poll decides
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -128,7 +128,7 @@
 	pace             Pace
 	runs             map[work.TaskRef]*run
 	homes            map[string]*homeState
-	lastSeq          uint64 // of the events of all homes; a home that was removed may return with what it has taken
+	lastSeq          uint64 // of the events of all homes, so that it goes on for a home that was removed and returns
 	orders           []Order
 	seals            map[string]sealState // by job
 	sealRequests     []sealRequest        // not answered yet, in the order of their arrival
@@ -234,8 +234,8 @@
 }
 
 // LeaseUntil returns the end of the lease, on the worker's clock, for a call that is
-// sent now. It returns 0 while the lease is not renewed. A worker out of contact may still
-// carry out each renewal that is sent, and its runs could not be declared lost.
+// sent now. It returns 0 while the lease is not renewed, as it is not while the worker is out
+// of contact: the worker might grant each lease, so its runs would never count as lost.
 func (g *Guard) LeaseUntil(now time.Time) time.Duration {
 	g.updateWithheld(now)
 	if g.workerClock == 0 || !g.settledOnce || g.outOfContact || g.withheld || !g.renewalPausedAt.IsZero() {
