Name the fault in which a home takes the ledger back

It is a method of the fleet now, like the others of its length; two lines of the guard's test are plainer.

--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -157,6 +157,36 @@
 	}
 }
 
+// takeLedgerAndBack pauses the home until another entry holds the ledger, and kills the other entries
+// at once.
+func (s *fleet) takeLedgerAndBack() {
+	h := s.home()
+	client := platform.NewStore("store", s.dial("caller"))
+	defer client.Close()
+	before, _, err := client.Get(s.ctx, ledger.TenureKey)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.network.pause(fmt.Sprint("e", h), true)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if after, _, err := client.Get(s.ctx, ledger.TenureKey); err == nil && after.Revision != before.Revision {
+			break
+		}
+	}
+	for i := range fleetEntries {
+		if i != h {
+			s.entry(i).Kill()
+		}
+	}
+	s.network.pause(fmt.Sprint("e", h), false)
+	time.Sleep(3200 * time.Millisecond)
+	for i := range fleetEntries {
+		if i != h {
+			s.startEntry(i)
+		}
+	}
+}
+
 // storedFaults are faults of the store and of all processes at once.
 var storedFaults = []fleetFault{
 	{"nothing", 0, func(*fleet) {}},
@@ -222,33 +252,7 @@
 		s.network.refuse("a1", "w1", true)
 	}},
 	// The former home takes the ledger back, and no agent has met the holder between.
-	{"home paused, the next holder killed", 0, func(s *fleet) {
-		h := s.home()
-		client := platform.NewStore("store", s.dial("caller"))
-		defer client.Close()
-		before, _, err := client.Get(s.ctx, ledger.TenureKey)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		s.network.pause(fmt.Sprint("e", h), true)
-		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			if after, _, err := client.Get(s.ctx, ledger.TenureKey); err == nil && after.Revision != before.Revision {
-				break
-			}
-		}
-		for i := range fleetEntries {
-			if i != h {
-				s.entry(i).Kill()
-			}
-		}
-		s.network.pause(fmt.Sprint("e", h), false)
-		time.Sleep(3200 * time.Millisecond)
-		for i := range fleetEntries {
-			if i != h {
-				s.startEntry(i)
-			}
-		}
-	}},
+	{"home paused, the next holder killed", 0, (*fleet).takeLedgerAndBack},
 }
 
 // minAccepted returns how many of a hundred jobs must be accepted: half, since
--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -24,7 +24,7 @@
 	return lastRenewal
 }
 
-// startOf returns the start of the run of loseWorker's tests.
+// startOf returns the start of a run, of a stored job or not.
 func startOf(stored bool) work.Start {
 	s := start(0, 1, 10)
 	s.Stored = stored
@@ -55,7 +55,8 @@
 			d := newDriverWithTenure(t)
 			d.order(startOf(stored))
 			d.advance(50 * time.Millisecond)
-			if d.g.Unanswered(run(0, 1)); restarted {
+			d.g.Unanswered(run(0, 1))
+			if restarted {
 				d.born, d.clock = 8, time.Second
 				d.answerEmptyPoll(0)
 			}
