Count the tasks of a gang that is being placed toward MaxPerOne

Cause: placeGang chooses the workers of all tasks before it starts any run, and isEligible counts only runs.

Change: a worker counts the tasks of the gang that is being placed beside its runs while the others are chosen.

Evidence: TestGangExceedsMaxPerOne failed before ("2 starts at a, want 0") and passes.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -156,7 +156,7 @@
 	if step.MaxPerOne == 0 {
 		return true
 	}
-	n := 0
+	n := t.planned
 	for ref := range t.runs {
 		if ref.Job == j.ID && j.Slot(ref) == slot {
 			n++
--- a/schedule/gang_test.go
+++ b/schedule/gang_test.go
@@ -53,3 +53,20 @@
 	h.wantOutcome("j", work.Completed)
 	h.wantStarts("a", 0)
 }
+
+// TestGangExceedsMaxPerOne guards against a gang of which a worker gets more tasks than it may.
+func TestGangExceedsMaxPerOne(t *testing.T) {
+	h := newTenureHarness(t, 8, "a", "b")
+	j := gangJob("j", 3)
+	j.Steps[0].MaxPerOne = 1
+	h.restoreStored(j)
+	h.advanceConfirmed(time.Second)
+	h.wantStarts("a", 0)
+	h.wantStarts("b", 0)
+	h.addAgent("c", 8)
+	h.setTenure(1)
+	h.advanceConfirmed(time.Second)
+	for _, agent := range []string{"a", "b", "c"} {
+		h.wantStarts(agent, 1)
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -222,11 +222,13 @@
 		}
 		t.used = t.used.Add(j.Step(slot).Room)
 		t.cold.tokens--
+		t.planned++
 		chosen = append(chosen, t)
 	}
 	for _, t := range chosen {
 		t.used = t.used.Sub(j.Step(slot).Room)
 		t.cold.tokens++
+		t.planned = 0
 	}
 	if len(chosen) < len(j.tasks[slot]) {
 		return
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -23,6 +23,7 @@
 	freed          float64   // CPU that ends of runs are expected to free per ms
 	rack           *rack     // nil if no task has an affinity to one of the labels
 	runs           map[work.TaskRef]work.Run
+	planned        int        // tasks of the gang that is being placed
 	lastSeq        uint64     // of the last event received
 	baseSlowness   float64    // computed from logSlowness and kindSlowness
 	kindSlowness   float64    // mean of logSlowness over the workers of its kind
