Expect no room from tasks that last in the wait for a rack

Cause: waitForRack takes the expected time of the runs on a rack as the time after which they free their room, and tasks that last were counted with it, although they have no end.

Change: target.occupy counts a run that lasts with nothing freed. A rack with only such runs has no known wait, so the task runs elsewhere.

Evidence: TestLastingTaskWaitsForRackThatIsFullForGood failed before (the task was not started in 1 s) and passes.

--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -204,11 +204,14 @@
 	}
 }
 
-// occupy accounts for a run that is placed on the worker.
-func (t *target) occupy(step *work.Step, tk *task) {
+// occupy accounts for a run that is placed on the worker. A run that lasts frees nothing.
+func (t *target) occupy(step *work.Step, tk *task, lasts bool) {
 	t.used = t.used.Add(step.Room)
 	tk.near = step.Affinity != "" && slices.Contains(t.Labels, step.Affinity)
-	tk.freed = float64(step.Room.CPU) / max(ms(tk.expected), 1)
+	tk.freed = 0
+	if !lasts {
+		tk.freed = float64(step.Room.CPU) / max(ms(tk.expected), 1)
+	}
 	t.freed += tk.freed
 	if tk.near {
 		t.nearCPU += step.Room.CPU
--- a/schedule/rack_test.go
+++ b/schedule/rack_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -105,3 +106,24 @@
 	h.submit(nearJob("second", 0, 100*time.Millisecond, "r1"))
 	h.wantStarts("far", 1)
 }
+
+// TestLastingTaskWaitsForRackThatIsFullForGood guards against a task that waits for its rack, where
+// only tasks without end run, while other workers are idle.
+func TestLastingTaskWaitsForRackThatIsFullForGood(t *testing.T) {
+	h := newTenureHarness(t, 8, "far")
+	h.addAgent("near", 1, "a", "r1")
+	h.setTenure(1)
+	h.confirm("near", 1, nil)
+	for i := range 2 {
+		j := nearJob("lasting"+strconv.Itoa(i), 0, time.Second, "r1")
+		j.Lasts = true
+		h.restoreStored(j)
+		h.submit(nearJob("short"+strconv.Itoa(i), 0, 50*time.Millisecond, "r1")) // the rack is wanted
+	}
+	h.wantStarts("near", 1)
+	far := h.starts["far"]
+	h.advanceConfirmed(time.Second)
+	if !slices.Contains(h.starts["far"], run("lasting1", 0, 1)) {
+		t.Errorf("starts %v, at once %v; want lasting1", h.starts, far)
+	}
+}
