Count jobs whose starts were refused as waiting

Cause: Core.Waiting leaves out each job of which a task was sent to an agent, and a refused start is sent, too.

Change: a job has begun once one of its runs has ended otherwise than refused; Waiting counts the jobs that have not begun and have no run.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -186,13 +186,14 @@
 // maxDelay bounds the result of Delay.
 const maxDelay = time.Minute
 
-// Waiting returns, by queue, the number of waiting jobs that have had no task sent.
+// Waiting returns, by queue, the number of jobs of which no task has begun. A task whose start was
+// refused has not.
 func (c *Core) Waiting() map[string]int {
 	counts := make(map[string]int)
 	for i := 0; i < len(c.waiting); {
 		name, n := c.waiting[i].Queue.Name, 0 // jobs of one queue are mostly side by side
 		for ; i < len(c.waiting) && c.waiting[i].Queue.Name == name; i++ {
-			if !c.waiting[i].wasSent {
+			if j := c.waiting[i]; !j.begun && j.running == 0 {
 				n++
 			}
 		}
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -42,6 +42,9 @@
 	t.release(j.Step(slot), tk)
 	j.running--
 	tk.stopping = false
+	if e.End != work.Refused && e.End != work.Alone {
+		j.begun = true
+	}
 	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -19,6 +19,7 @@
 	running        int
 	minCPU         int  // of any task, in thousandths of a core
 	wasSent        bool // a task of it was sent to an agent
+	begun          bool // a run of it has ended, and was not refused
 	withdrawn      bool // its caller is gone
 	answered       bool
 	missesDeadline bool            // it can no longer meet its cutoff, but still has to be done
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -109,11 +109,13 @@
 			indices = allTasks(j.Step(slot))
 		}
 		for _, i := range indices {
+			j.begun = true
 			c.markDone(j, slot, i)
 		}
 	}
 	for t, n := range failures.Count {
 		j.tasks[j.Slot(t)][t.Index].failures = n
+		j.begun = true
 	}
 	for t, runs := range failures.Runs {
 		j.tasks[j.Slot(t)][t.Index].failedRuns = slices.Clone(runs)
