Let preferences among workers give way

Cause: isEligible refused a worker where a run of the job had failed as long as hasAlternative found another one, and hasAlternative had its own idea of that: it looked neither at the limit per worker nor, but for tasks that last, at the free room. isTrustedWith and the wait for a faster worker or a rack had no end either.

Of the obstacles, a failure of the job there, no run done lately and an ejection are preferences. Moves of runs and stops on evacuated workers use the same decision.

Evidence: TestLastingTaskThatFailedTwiceWaitsForWorkersAtTheirLimit, TestFailedTaskWaitsForWorkerThatIsFullForGood and TestFailedTaskWaitsForBusyWorker failed before and pass.

--- a/schedule/avoid_test.go
+++ b/schedule/avoid_test.go
@@ -60,3 +60,50 @@
 	h.wantStarts(first, 1)
 	h.wantStarts(other, 1)
 }
+
+// TestLastingTaskThatFailedTwiceWaitsForWorkersAtTheirLimit guards against a task that waits for
+// workers which have as many tasks of its step as they may, while those where it failed are idle.
+func TestLastingTaskThatFailedTwiceWaitsForWorkersAtTheirLimit(t *testing.T) {
+	h := newTenureHarness(t, 4, "a", "b", "c")
+	j := job("j", 0, 2, 0)
+	j.Lasts, j.Steps[0].MaxPerOne = true, 1
+	h.restoreStored(j)
+	for range 2 {
+		agent, r := h.lastStart(run("j", 0, 0).Task)
+		h.confirm(agent, 1, nil, schedule.Event{Run: r, End: work.Failed})
+		h.advanceConfirmed(3 * time.Second)
+	}
+	if _, r := h.lastStart(run("j", 0, 0).Task); r.Number != 3 {
+		t.Errorf("last start %s, want the third", r)
+	}
+}
+
+// TestFailedTaskWaitsForWorkerThatIsFullForGood guards against a job that failed once and then
+// waits for a worker that is full of tasks that last.
+func TestFailedTaskWaitsForWorkerThatIsFullForGood(t *testing.T) {
+	h := newTenureHarness(t, 4, "a", "b")
+	h.restore("j", 1)
+	first, r := h.lastStart(run("j", 0, 0).Task)
+	fill := job("fill", 0, 1, 0)
+	fill.Lasts, fill.Steps[0].Room.CPU = true, 40
+	h.restoreStored(fill)
+	h.confirm(first, 1, nil, schedule.Event{Run: r, End: work.Failed})
+	h.advanceConfirmed(3 * time.Second)
+	h.wantStarts(first, 2)
+}
+
+// TestFailedTaskWaitsForBusyWorker guards against a job that failed once and then waits for as long
+// as other runs take.
+func TestFailedTaskWaitsForBusyWorker(t *testing.T) {
+	h := newTenureHarness(t, 4, "a", "b")
+	h.restore("j", 1)
+	first, r := h.lastStart(run("j", 0, 0).Task)
+	busy := job("busy", 0, 1, time.Hour)
+	busy.Steps[0].Room.CPU = 40
+	h.restoreStored(busy)
+	h.confirm(first, 1, nil, schedule.Event{Run: r, End: work.Failed})
+	h.advanceConfirmed(time.Second)
+	h.wantStarts(first, 1)
+	h.advanceConfirmed(2 * time.Second)
+	h.wantStarts(first, 2)
+}
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -14,22 +14,29 @@
 // capacity. A task whose rack has no free capacity waits for it while that ends sooner. If
 // more work wants a rack than it can do, tasks that are in time elsewhere leave it to those
 // that are not. Kinds of task that slow each other down change only which worker is returned,
-// never whether there is one.
+// never whether there is one. What chooseTarget waits for and what it prefers gives way after
+// maxPreferenceWait.
 func (c *Core) chooseTarget(now time.Time, j *job, slot int, open []*target) *target {
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
 	slack := c.slackOf(now, j)
 	var best, reserved, spare, outside, fastest choice
+	var second secondChoice
 	worthWaiting, nearFree := false, false
 	for _, t := range open {
-		if !t.mayStart() || !c.isEligible(j, slot, t) || !c.isTrustedWith(now, j, slot, t) {
+		o := c.obstacleOnOpen(now, j, slot, t)
+		if o > noRoom {
 			continue
 		}
 		distance := c.distanceFactor(step, t)
 		this := choice{t: t, expected: time.Duration(float64(baseTime) * t.slowness() * distance)}
 		inTime := slack.meetsObjective(this.expected)
-		if !t.free().Holds(step.Room) {
-			worthWaiting = worthWaiting || inTime
+		switch {
+		case o == noRoom:
+			worthWaiting = worthWaiting || inTime && c.preferenceAgainst(now, j, step, t) == noObstacle
+			continue
+		case o.isPreference():
+			second = second.better(secondChoice{t, o, this.expected})
 			continue
 		}
 		nearFree = nearFree || distance == 1
@@ -68,16 +75,21 @@
 			outside, risk = fastest, 1
 		}
 		if wait, runTime, known := c.waitForRack(j, step, baseTime, r); known && !nearFree {
-			if risk*wait+runTime < outside.expected {
+			if risk*wait+runTime < outside.expected && !c.hasWaited(now, j, slot) {
 				return nil
 			}
 			return outside.t
 		}
 	}
-	if best.t != nil || worthWaiting {
+	switch {
+	case best.t != nil:
 		return best.t
+	case fastest.t != nil && (!worthWaiting || c.hasWaited(now, j, slot)):
+		return fastest.t
+	case fastest.t == nil && second.t != nil && c.mayOverride(now, j, slot, second.t, second.preference):
+		return second.t
 	}
-	return fastest.t
+	return nil
 }
 
 // choice is a worker that a task may run on, and the time that it is expected to take there.
@@ -101,6 +113,21 @@
 	return b
 }
 
+// secondChoice is a worker that a task may run on in spite of a preference.
+type secondChoice struct {
+	t          *target
+	preference obstacle
+	expected   time.Duration
+}
+
+// better returns the worker with the weaker preference against it, then the faster one.
+func (b secondChoice) better(o secondChoice) secondChoice {
+	if b.t == nil || o.preference < b.preference || o.preference == b.preference && o.expected < b.expected {
+		return o
+	}
+	return b
+}
+
 // The real work of a task may be between these multiples of its estimate. The
 // objective scales with the real work, too.
 const (
@@ -146,44 +173,3 @@
 	}
 	return 1
 }
-
-// isEligible reports whether a worker may run tasks of a slot, free capacity aside.
-func (c *Core) isEligible(j *job, slot int, t *target) bool {
-	step := j.Step(slot)
-	if !c.suits(j, step, t) || j.avoid[t.agent] && c.hasAlternative(j, step, t) {
-		return false
-	}
-	if step.MaxPerOne == 0 {
-		return true
-	}
-	n := t.planned
-	for ref := range t.runs {
-		if ref.Job == j.ID && j.Slot(ref) == slot {
-			n++
-		}
-	}
-	return n < step.MaxPerOne
-}
-
-// suits reports whether a worker could run tasks of a step if none ran there.
-func (c *Core) suits(j *job, step *work.Step, t *target) bool {
-	return !c.isEvacuated(t) && c.couldRun(j, step, t)
-}
-
-// couldRun is suits if no data centre were evacuated.
-func (c *Core) couldRun(j *job, step *work.Step, t *target) bool {
-	return (!j.Stored || c.tenureConfirmedBy(t)) && t.Service == j.Queue.Service && t.Capacity.Holds(step.Room) &&
-		(step.Label == "" || slices.Contains(t.Labels, step.Label))
-}
-
-// hasAlternative reports whether a step has another worker that its job does not avoid. For a
-// lasting job it must have free capacity, as its tasks may never end.
-func (c *Core) hasAlternative(j *job, step *work.Step, excluded *target) bool {
-	for _, name := range c.agentNames {
-		t := c.targets[name]
-		if t != excluded && t.ready && !t.Draining && !c.ejection.Ejected(name) && !j.avoid[name] && c.suits(j, step, t) && (!j.Lasts || t.free().Holds(step.Room)) {
-			return true
-		}
-	}
-	return false
-}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -308,6 +308,7 @@
 		c.lastKindUpdate = now
 		c.updateKindSlowness()
 		c.expireRacks(now)
+		c.explainWaits(now)
 		c.notePairs(c.pairs.Expire(now))
 	}
 	c.expireAgents(now)
--- a/schedule/ejection.go
+++ b/schedule/ejection.go
@@ -102,30 +102,11 @@
 	return probes
 }
 
-// isTrustedWith reports whether the evidence about a worker lets it run tasks of a job. An
-// ejected worker gets probes, which are tasks that have further attempts, and tasks that no
-// other worker can run. A job of which a run has failed gets workers whose runs were done
-// lately, if there are any.
-func (c *Core) isTrustedWith(now time.Time, j *job, slot int, t *target) bool {
-	step := j.Step(slot)
-	if c.ejection.Ejected(t.agent) {
-		isProbe := c.ejection.ProbeDue(now, t.agent) && j.failures == 0 && j.Queue.MaxAttempts > 1 && !step.Gang && !j.Stored
-		return isProbe || !c.hasOther(j, step, func(o *target) bool { return !c.ejection.Ejected(o.agent) && c.isUsable(now, o) })
+// mayProbe reports whether a task of a job may run on an ejected worker as a probe: one that has
+// further attempts, of a job that is not stored.
+func (c *Core) mayProbe(now time.Time, j *job, step *work.Step, t *target) bool {
+	if j.failures > 0 || j.Queue.MaxAttempts <= 1 || step.Gang || j.Stored {
+		return false
 	}
-	if j.failures == 0 || c.ejection.Trusted(now, t.agent) {
-		return true
-	}
-	return !c.hasOther(j, step, func(o *target) bool {
-		return c.ejection.Trusted(now, o.agent) && c.isUsable(now, o) && !j.avoid[o.agent]
-	})
-}
-
-// hasOther reports whether a worker that matches could run tasks of a step.
-func (c *Core) hasOther(j *job, step *work.Step, match func(*target) bool) bool {
-	for _, name := range c.agentNames {
-		if t := c.targets[name]; match(t) && c.suits(j, step, t) {
-			return true
-		}
-	}
-	return false
+	return c.ejection.ProbeDue(now, t.agent)
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -43,7 +43,7 @@
 	j.running--
 	tk.stopping = false
 	if e.End != work.Refused && e.End != work.Alone {
-		j.begun = true
+		tk.readySince, j.begun = now, true
 	}
 	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
--- a/schedule/evacuation.go
+++ b/schedule/evacuation.go
@@ -26,7 +26,7 @@
 		d.capacity = nil // counted anew
 	}
 	for _, name := range c.agentNames {
-		c.stopLasting(c.targets[name])
+		c.stopLasting(now, c.targets[name])
 	}
 	c.placeWaiting(now)
 	c.rejectHopeless(now)
@@ -54,7 +54,7 @@
 	found := false
 	for _, name := range c.agentNames {
 		t := c.targets[name]
-		if !c.couldRun(j, step, t) {
+		if c.obstacleOfKind(j, step, t) != noObstacle {
 			continue
 		}
 		if !c.isEvacuated(t) {
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// lastStart returns the last run of a task that was started, and where.
+func (h *harness) lastStart(ref work.TaskRef) (agent string, last work.Run) {
+	for a, runs := range h.starts {
+		for _, r := range runs {
+			if r.Task == ref && r.Number > last.Number {
+				agent, last = a, r
+			}
+		}
+	}
+	return agent, last
+}
+
 // teachSlowness lets a worker of the given slowness run tasks until its slowness is known.
 func (h *harness) teachSlowness(agent string, slowness float64) {
 	est := 100 * time.Millisecond
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -26,6 +26,7 @@
 	leftRack       bool            // a task of it runs outside the rack of its affinity
 	late           bool            // it can no longer meet its objective; see Core.demoteOnlyLate
 	isWaiting      bool            // it is in Core.waiting
+	waitExplained  bool            // see Core.explainWaits
 	runNumberBase  int             // highest number of a run that another home may have started
 	sealing        *sealing        // set until no such run is left
 	avoid          map[string]bool // agents where a run failed or stalled
@@ -63,6 +64,7 @@
 	failures   int
 	failedRuns []int // numbers of the failed runs, as far as they are known
 	agent      string
+	readySince time.Time // when it could first start, or its last run ended
 	startedAt  time.Time
 	expected   time.Duration
 	slowdown   float64          // of the worker when the task was placed
@@ -131,7 +133,7 @@
 		}
 		for k := range j.tasks[i] {
 			if t := &j.tasks[i][k]; t.state == blocked {
-				t.state = pending
+				t.state, t.readySince = pending, now
 				j.pending++
 				c.queued++
 			}
--- a/schedule/leave.go
+++ b/schedule/leave.go
@@ -27,7 +27,7 @@
 // moveFromLeaving stops the runs on a leaving worker that end in time only elsewhere.
 func (c *Core) moveFromLeaving(now time.Time, t *target) {
 	open := c.openTargets(now)
-	claimed := c.claimMoved(open)
+	claimed := c.claimMoved(now, open)
 	for _, r := range t.sortedRuns() {
 		j, ok := c.jobs[r.Task.Job]
 		if !ok || j.answered || j.Lasts {
@@ -48,7 +48,7 @@
 		if time.Duration(minWorkFactor*float64(tk.expected))-elapsed > left {
 			inTime = j.cutoff
 		}
-		o, there := c.fastestWithRoom(j, slot, open, claimed)
+		o, there := c.fastestWithRoom(now, j, slot, open, claimed)
 		if o == nil || now.Add(there).After(inTime) {
 			continue
 		}
@@ -61,7 +61,7 @@
 
 // claimMoved returns the room that tasks will take on other workers whose runs are being
 // stopped on draining ones.
-func (c *Core) claimMoved(open []*target) map[string]work.Room {
+func (c *Core) claimMoved(now time.Time, open []*target) map[string]work.Room {
 	claimed := make(map[string]work.Room)
 	for _, name := range c.agentNames {
 		t := c.targets[name]
@@ -74,7 +74,7 @@
 				continue
 			}
 			slot := j.Slot(r.Task)
-			if o, _ := c.fastestWithRoom(j, slot, open, claimed); o != nil {
+			if o, _ := c.fastestWithRoom(now, j, slot, open, claimed); o != nil {
 				claimed[o.agent] = claimed[o.agent].Add(j.Step(slot).Room)
 			}
 		}
@@ -85,11 +85,11 @@
 // fastestWithRoom returns the worker on which a task of a slot would end first if it were
 // moved there now, and the time until then, the stop included. Claimed is the room that
 // other moved tasks will take.
-func (c *Core) fastestWithRoom(j *job, slot int, open []*target, claimed map[string]work.Room) (best *target, until time.Duration) {
+func (c *Core) fastestWithRoom(now time.Time, j *job, slot int, open []*target, claimed map[string]work.Room) (best *target, until time.Duration) {
 	step := j.Step(slot)
 	baseTime := float64(c.expectedTime(j, slot))
 	for _, t := range open {
-		if !c.isEligible(j, slot, t) || !t.free().Sub(claimed[t.agent]).Holds(step.Room) {
+		if c.obstacleOnOpen(now, j, slot, t) > unproven || !t.free().Sub(claimed[t.agent]).Holds(step.Room) {
 			continue
 		}
 		if there := stopCost + time.Duration(baseTime*t.slowness()*c.distanceFactor(step, t)); best == nil || there < until {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -267,6 +267,7 @@
 	j.pending--
 	c.queued--
 	j.running++
+	j.waitExplained = false
 	if !j.wasSent {
 		j.wasSent, j.firstPlacedAt = true, startedAt
 	}
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -97,7 +97,7 @@
 		}
 	}
 	c.orderSeals(agent)
-	c.stopLasting(t)
+	c.stopLasting(now, t)
 	c.recordLeave(now, t, r)
 	c.takeStalled(now, t, r.Idle)
 	c.detectStraggler(now, t, r.Slow)
--- a/schedule/straggler.go
+++ b/schedule/straggler.go
@@ -171,7 +171,7 @@
 	baseTime := time.Duration(float64(c.expectedTime(j, j.Slot(p.Run.Task))) * ownWork)
 	for _, o := range c.openTargets(now) {
 		elsewhere := stopCost + time.Duration(float64(baseTime)*o.slowness()*c.distanceFactor(step, o))
-		if o == t || !c.isEligible(j, j.Slot(p.Run.Task), o) || !o.free().Holds(step.Room) || minMoveGain*elsewhere > remaining {
+		if o == t || c.obstacleOnOpen(now, j, j.Slot(p.Run.Task), o) > unproven || minMoveGain*elsewhere > remaining {
 			continue
 		}
 		c.addNote(Note{Job: j.ID, Agent: t.agent, Run: p.Run, Kind: "runMoved", Reason: "its worker is slow",
--- a/schedule/timed.go
+++ b/schedule/timed.go
@@ -45,12 +45,12 @@
 // stopLasting stops the tasks of lasting jobs on a worker that is draining or evacuated, so
 // that they restart on other workers. On an evacuated worker they go on while there is no
 // other.
-func (c *Core) stopLasting(t *target) {
+func (c *Core) stopLasting(now time.Time, t *target) {
 	if !t.Draining && !c.isEvacuated(t) {
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		if j, ok := c.jobs[r.Task.Job]; ok && j.Lasts && !j.answered && (t.Draining || c.hasAlternative(j, j.Step(j.Slot(r.Task)), t)) {
+		if j, ok := c.jobs[r.Task.Job]; ok && j.Lasts && !j.answered && (t.Draining || c.canStartElsewhere(now, j, j.Slot(r.Task), t)) {
 			c.stopTask(j, j.Slot(r.Task), r.Task.Index)
 		}
 	}
