Let stored jobs readmit an ejected worker

Cause: only a probe readmits a worker, and no task of a stored job could be one. Without a probe the worker got a task only if no other worker suits, whatever room that one has.

Change: a task of a stored job may be the probe, if it has further attempts and no run of its job has failed. Since an attempt is dearer there, the probe is left to other jobs for 1 s. A task that has waited for as long as preferences hold starts on an ejected worker, too, when a probe is due or has gone on for 1 s. Tasks that last are no probes, as they have no end.

Evidence: TestStoredJobsReadmitAnEjectedWorker failed before ("b is still ejected after 3 s") and passes.

--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -63,6 +63,8 @@
 	maxProbeAfter   = 2 * time.Second
 	// probeTimeout is the time after which a probe without an end is given up.
 	probeTimeout = 5 * time.Second
+	// retryAfter is the time without an end after which a probe does not hold up urgent runs.
+	retryAfter = time.Second
 	// calmTime is the time without an ejection after which the interval starts anew.
 	calmTime = 10 * time.Second
 
--- a/ejection/review.go
+++ b/ejection/review.go
@@ -124,6 +124,13 @@
 	return ok && w.ejected && !now.Before(w.probeAt) && (w.probe == work.Run{} || now.Sub(w.probedAt) > probeTimeout)
 }
 
+// RetryDue reports whether an ejected worker may get a run that has waited long for another
+// worker: a probe is due, or has gone on for retryAfter.
+func (t *Tracker) RetryDue(now time.Time, name string) bool {
+	w, ok := t.workers[name]
+	return ok && w.ejected && !now.Before(w.probeAt) && (w.probe == work.Run{} || now.Sub(w.probedAt) > retryAfter)
+}
+
 // Probing records that a run on an ejected worker is its probe.
 func (t *Tracker) Probing(now time.Time, name string, r work.Run) {
 	if w, ok := t.workers[name]; ok && w.ejected {
--- a/schedule/ejection.go
+++ b/schedule/ejection.go
@@ -103,10 +103,17 @@
 }
 
 // mayProbe reports whether a task of a job may run on an ejected worker as a probe: one that has
-// further attempts, of a job that is not stored.
+// further attempts. An attempt of a stored job is dearer, so such tasks leave the probe to others
+// for storedProbeDelay.
 func (c *Core) mayProbe(now time.Time, j *job, step *work.Step, t *target) bool {
-	if j.failures > 0 || j.Queue.MaxAttempts <= 1 || step.Gang || j.Stored {
+	if j.failures > 0 || j.Queue.MaxAttempts <= 1 || step.Gang || j.Lasts {
 		return false
 	}
+	if j.Stored {
+		now = now.Add(-storedProbeDelay)
+	}
 	return c.ejection.ProbeDue(now, t.agent)
 }
+
+// storedProbeDelay is the time for which a probe that is due is left to jobs that are not stored.
+const storedProbeDelay = time.Second
--- a/schedule/ejection_test.go
+++ b/schedule/ejection_test.go
@@ -156,3 +156,36 @@
 	h.submit(labelled("after"))
 	h.wantStarts("a", 3)
 }
+
+// TestStoredJobsReadmitAnEjectedWorker guards against a worker that is well again and gets no task
+// for good, since all jobs are stored.
+func TestStoredJobsReadmitAnEjectedWorker(t *testing.T) {
+	h := newTenureHarness(t, 1, "a", "b", "c", "d")
+	round := func(name string, bEnd work.End) {
+		for i := range h.agents {
+			h.restore(name+i, 1)
+		}
+		h.advanceConfirmed(50 * time.Millisecond)
+		for _, agent := range []string{"b", "a", "c", "d"} {
+			for ; len(h.starts[agent]) > 0; h.starts[agent] = h.starts[agent][1:] {
+				end := work.Done
+				if agent == "b" {
+					end = bEnd
+				}
+				h.confirm(agent, 1, nil, schedule.Event{Run: h.starts[agent][0], End: end, Took: 50 * time.Millisecond})
+			}
+		}
+	}
+	for i := 0; h.c.Ejected() == 0 && i < 10; i++ {
+		round("failing"+strconv.Itoa(i), work.Failed)
+	}
+	if h.c.Ejected() != 1 {
+		t.Fatalf("%d workers ejected, want b", h.c.Ejected())
+	}
+	for i := range 60 {
+		round("well"+strconv.Itoa(i), work.Done)
+	}
+	if h.c.Ejected() != 0 {
+		t.Error("b is still ejected after 3 s")
+	}
+}
--- a/schedule/obstacle.go
+++ b/schedule/obstacle.go
@@ -126,7 +126,7 @@
 // mayOverride reports whether a task of a slot may start on a worker in spite of a preference.
 func (c *Core) mayOverride(now time.Time, j *job, slot int, t *target, preference obstacle) bool {
 	if c.hasWaited(now, j, slot) {
-		return preference != ejected || !c.hasSound(now, j, slot)
+		return preference != ejected || c.ejection.RetryDue(now, t.agent) || !c.hasSound(now, j, slot)
 	}
 	if preference == ejected {
 		return !c.hasSound(now, j, slot)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -273,7 +273,9 @@
 	}
 	tk.beside = c.kindsOn(t)
 	t.runs[run.Task] = run
-	c.ejection.Probing(startedAt, t.agent, run)
+	if !j.Lasts {
+		c.ejection.Probing(startedAt, t.agent, run)
+	}
 	t.occupy(step, tk, j.Lasts)
 	c.countRunning(j, tk, float64(step.Room.CPU)/t.slowness())
 	c.countPlaced(j, slot)
