Split the choice of a worker from the weighing of each

The candidates are collected in a struct, and choose decides among them; recordEnd records when a task is ready again.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -20,9 +20,7 @@
 	step := j.Step(slot)
 	baseTime := c.expectedTime(j, slot)
 	slack := c.slackOf(now, j)
-	var best, reserved, spare, outside, fastest choice
-	var second secondChoice
-	worthWaiting, nearFree := false, false
+	var found choices
 	for _, t := range open {
 		o := c.obstacleOnOpen(now, j, slot, t)
 		if o > noRoom {
@@ -33,32 +31,51 @@
 		inTime := slack.meetsObjective(this.expected)
 		switch {
 		case o == noRoom:
-			worthWaiting = worthWaiting || inTime && c.preferenceAgainst(now, j, step, t) == noObstacle
+			found.worthWaiting = found.worthWaiting || inTime && c.preferenceAgainst(now, j, step, t) == noObstacle
 			continue
 		case o.isPreference():
-			second = second.better(secondChoice{t, o, this.expected})
+			found.second = found.second.better(secondChoice{t, o, this.expected})
 			continue
 		}
-		nearFree = nearFree || distance == 1
+		found.nearFree = found.nearFree || distance == 1
 		this.conflict = c.conflictOn(now, j, t, this.expected)
 		switch {
 		case !inTime:
 		case distance > 1 && !isReserved(step, t):
-			spare = spare.better(this)
+			found.spare = found.spare.better(this)
 		case distance > 1:
-			outside = outside.better(this)
+			found.outside = found.outside.better(this)
 		case !isReserved(step, t):
-			best = best.better(this)
+			found.best = found.best.better(this)
 		default:
-			reserved = reserved.better(this)
+			found.reserved = found.reserved.better(this)
 		}
 		this.expected = this.conflict.stretch(this.expected)
-		if fastest.t == nil || this.expected < fastest.expected {
-			fastest = this
+		if found.fastest.t == nil || this.expected < found.fastest.expected {
+			found.fastest = this
 		}
 	}
+	return c.choose(now, j, slot, baseTime, &found)
+}
+
+// choices are the workers that a task may run on, the best of each kind.
+type choices struct {
+	best         choice // in time, and near the data if there is any
+	reserved     choice // the same, in a rack that others want
+	spare        choice // in time, but away from the data
+	outside      choice // the same, in a rack that others want
+	fastest      choice // in time or not
+	second       secondChoice
+	worthWaiting bool // a worker without free capacity would be in time
+	nearFree     bool // there is free capacity near the data
+}
+
+// choose returns the worker for a task of a slot, or nil if it should wait.
+func (c *Core) choose(now time.Time, j *job, slot int, baseTime time.Duration, found *choices) *target {
+	step := j.Step(slot)
+	best, spare, outside, fastest := found.best, found.spare, found.outside, found.fastest
 	if best.t == nil {
-		best = reserved
+		best = found.reserved
 	}
 	if spare.t != nil {
 		outside = spare
@@ -74,7 +91,7 @@
 		if outside.t == nil {
 			outside, risk = fastest, 1
 		}
-		if wait, runTime, known := c.waitForRack(j, step, baseTime, r); known && !nearFree {
+		if wait, runTime, known := c.waitForRack(j, step, baseTime, r); known && !found.nearFree {
 			if risk*wait+runTime < outside.expected && !c.hasWaited(now, j, slot) {
 				return nil
 			}
@@ -84,10 +101,10 @@
 	switch {
 	case best.t != nil:
 		return best.t
-	case fastest.t != nil && (!worthWaiting || c.hasWaited(now, j, slot)):
+	case fastest.t != nil && (!found.worthWaiting || c.hasWaited(now, j, slot)):
 		return fastest.t
-	case fastest.t == nil && second.t != nil && c.mayOverride(now, j, slot, second.t, second.preference):
-		return second.t
+	case fastest.t == nil && found.second.t != nil && c.mayOverride(now, j, slot, found.second.t, found.second.preference):
+		return found.second.t
 	}
 	return nil
 }
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -42,9 +42,7 @@
 	t.release(j.Step(slot), tk)
 	j.running--
 	tk.stopping = false
-	if e.End != work.Refused && e.End != work.Alone {
-		tk.readySince, j.begun = now, true
-	}
+	j.recordEnd(now, tk, e.End)
 	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
@@ -81,6 +79,13 @@
 	c.releaseJob(j)
 }
 
+// recordEnd records that a run of a task has ended, unless it had not begun.
+func (j *job) recordEnd(now time.Time, tk *task, end work.End) {
+	if end != work.Refused && end != work.Alone {
+		tk.readySince, j.begun = now, true
+	}
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // finishTask marks a task as done, and answers its job if it was the last one. The tasks of a
