Start tasks that last on an ejected worker without a probe

A task that lasts waited for more than 3 s for an ejected worker that was well and empty, while no other worker of its label had room.

Cause: after its wait for better workers it still had to wait until a probe was due. The gate is there as each try costs an attempt; a task that lasts has none to spend.

Change: mayOverride does not ask for a due probe for tasks that last.

--- a/schedule/obstacle.go
+++ b/schedule/obstacle.go
@@ -123,10 +123,12 @@
 	return n
 }
 
-// mayOverride reports whether a task of a slot may start on a worker in spite of a preference.
+// mayOverride reports whether a task of a slot may start on a worker in spite of a preference. On
+// an ejected worker it does not spend an attempt unless a probe is due; a task that lasts has
+// none to spend.
 func (c *Core) mayOverride(now time.Time, j *job, slot int, t *target, preference obstacle) bool {
 	if c.hasWaited(now, j, slot) {
-		return preference != ejected || c.ejection.RetryDue(now, t.agent) || !c.hasSound(now, j, slot)
+		return preference != ejected || j.Lasts || c.ejection.RetryDue(now, t.agent) || !c.hasSound(now, j, slot)
 	}
 	if preference == ejected {
 		return !c.hasSound(now, j, slot)
