--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -174,7 +174,7 @@
 func (s *fleet) node(name string) platform.Node {
 	return platform.Node{
 		Name: name, IP: name, Service: service, Internal: name, Metrics: name + "/metrics", Store: "store", Cores: 0.4,
-		Entries: []string{"e0", "e1"}, GracePeriod: 6 * time.Second, EvacuateTime: s.evacuateTime,
+		Entries: []string{"e0", "e1"}, GracePeriod: 6 * time.Second, EvacuateTime: s.evacuateTime, MaxWorkerLease: time.Second,
 	}
 }
 
