Let tokens rise when an agent and its worker restart together

Cause: an agent stores nothing, so its tokens come from the worker's clock, which begins anew with the worker. A start of the former agent that got no answer then carries a higher token than all orders of the new one. It was proven not carried out, its task runs elsewhere, and the new incarnation of the worker carries it out up to 12 s later. A new agent also reported itself settled after a list under any token.

Evidence: TestLateStartAfterRestartOfAgentAndWorker fails on: run 2 starts while run 3 runs, for 122 ms.

Change: a token consists of the start time of the worker's incarnation and its clock. An agent is settled once it has a list under a token above those of earlier incarnations, and polls at once for it. A restarted agent whose token is rejected begins its search at the time of day, which decides nothing, as its worker's rejections do not contain the start time.

Why it works: a late start of an earlier life carries a token below the start time of the present one, which the first poll of the new agent shows to the worker. It can still be carried out before that poll.

--- a/site/agent.go
+++ b/site/agent.go
@@ -42,6 +42,7 @@
 	log           zerolog.Logger
 	runLog        zerolog.Logger // lines about single runs; rate-limited
 	clock         clock.Clock
+	timeOfDay     clock.Clock
 	life          string
 	worker        *platform.Worker
 	store         *platform.Store
@@ -75,7 +76,7 @@
 	}
 	dial := dialOf(o.Network)
 	a = &Agent{
-		node: o.Node, log: o.Log, runLog: rateLimited(o.Log, o.RequestLines), clock: o.Clock, life: identity.New("agent"),
+		node: o.Node, log: o.Log, runLog: rateLimited(o.Log, o.RequestLines), clock: o.Clock, timeOfDay: clock.System{}, life: identity.New("agent"),
 		worker: platform.NewWorker(o.Node.Worker, dial), store: platform.NewStore(o.Node.Store, dial), network: wire.OrTCP(o.Network), metrics: newAgentMetrics(),
 		stop:  make(chan struct{}),
 		guard: worker.NewGuard(GuardConfig(o.Node)), leaseWithheld: true, eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64),
@@ -294,7 +295,7 @@
 		return false
 	case !ans.Accepted:
 		if ans.Reason == platform.ReasonFence {
-			a.guard.TokenRejected(now, ans.Clock, token)
+			a.guard.TokenRejected(now, a.timeOfDay.Now(), ans.Clock, token)
 		}
 		a.log.Info().Str("reason", ans.Reason).Uint64("token", token).Msg("poll refused by the worker")
 		return ans.Reason == platform.ReasonFence
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -60,7 +60,7 @@
 
 // setFirstToken derives a token from the clock in a heartbeat, until a reply shows the clock.
 func (g *Guard) setFirstToken(now time.Time, clock time.Duration) {
-	if g.token == 0 {
+	if g.token <= g.bornToken() {
 		g.updateClock(now, min(clock, maxFirstClock))
 		g.raiseToken()
 	}
--- a/worker/order.go
+++ b/worker/order.go
@@ -97,7 +97,7 @@
 		g.sendStart(now, known)
 	default:
 		if tokenRejected {
-			g.TokenRejected(now, 0, known.token)
+			g.TokenRejected(now, time.Time{}, 0, known.token)
 			if g.Evacuated() {
 				reason = Evacuated // the home need not wait before it places the task elsewhere
 			}
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -40,23 +40,6 @@
 	Checkpoint string // checkpoint; empty if there is none
 }
 
-// TokenRejected records that the worker has rejected askedToken, that of a poll or a start,
-// since it has seen a higher one. The worker does not say which, so the token rises by
-// more with each consecutive rejection.
-func (g *Guard) TokenRejected(now time.Time, clock time.Duration, askedToken uint64) {
-	g.updateClock(now, clock)
-	if askedToken < g.token {
-		return // it has risen since
-	}
-	g.tokenStep = max(2*g.tokenStep, firstTokenStep)
-	g.token += g.tokenStep
-	g.raiseToken()
-}
-
-// firstTokenStep is how much the token rises after a first rejection. Doubling it
-// reaches the highest token of an incarnation of an hour in 19 rejections.
-const firstTokenStep = 8
-
 // PollAnswered processes the answer to a poll.
 func (g *Guard) PollAnswered(now time.Time, snapshot Snapshot) {
 	g.initialise(now)
@@ -66,7 +49,7 @@
 	g.updateClock(now, snapshot.Clock)
 	g.takeFirstSnapshot(now, &snapshot)
 	g.outOfContact, g.lastPoll = false, now
-	if g.token == 0 {
+	if g.token <= g.bornToken() {
 		g.raiseToken()
 	}
 	g.ackedToken, g.tokenStep = max(g.ackedToken, snapshot.Token), 0
@@ -110,7 +93,7 @@
 			g.stop(now, known, stopRepeated)
 		}
 	}
-	g.settledOnce = g.settledOnce || g.settled && snapshot.Token > 0
+	g.settledOnce = g.settledOnce || g.settled && snapshot.Token > g.bornToken()
 	g.updateUnsettled(now)
 	if snapshot.EndsCut {
 		return // a run that is not listed may have ended
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -20,9 +20,9 @@
 // with the lease. A home that takes over a job from a lost home has the agent seal the job:
 // the agent ends its runs up to a number, and refuses to start such runs later.
 //
-// Tokens are derived from the worker's own clock, which only rises during an
-// incarnation of the worker. So they rise across restarts of the agent, which
-// stores nothing.
+// Tokens are derived from the start time of the worker's incarnation and from the
+// worker's own clock, which only rises during an incarnation. So they rise across
+// restarts of the agent, which stores nothing, also if the worker restarts with it.
 //
 // Guard holds this state. It has no goroutines, sockets or clocks: every
 // method takes the time, and Take returns the orders to carry out. The times
@@ -115,7 +115,7 @@
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
 	settled          bool      // the worker has no runs that this Guard did not order
-	settledOnce      bool      // settled was true after a poll that fences the orders of earlier incarnations of the agent
+	settledOnce      bool      // settled was true after a poll whose token fences the orders of earlier incarnations of the agent
 	unsettledSince   time.Time // first poll that showed such runs; zero if the last one showed none
 	token            uint64
 	tokenStep        uint64 // last increase of the token after consecutive rejections
@@ -156,8 +156,9 @@
 // Token returns the token for the next order.
 func (g *Guard) Token() uint64 { return g.token }
 
-// Settled reports whether the worker has no runs that this Guard did not order.
-func (g *Guard) Settled() bool { return g.settled }
+// Settled reports whether the worker has no runs that this Guard did not order, and starts
+// none that an earlier incarnation of the agent has ordered.
+func (g *Guard) Settled() bool { return g.settled && g.settledOnce }
 
 // OutOfContact reports whether the worker has not answered polls for a while.
 func (g *Guard) OutOfContact() bool { return g.outOfContact }
@@ -217,14 +218,12 @@
 	}
 }
 
-// raiseToken sets a token that is higher than all earlier ones.
-func (g *Guard) raiseToken() {
-	g.token = max(g.token+1, uint64(g.workerClock.Milliseconds())+1)
-}
-
-// NeedsPoll reports whether the Guard does not know of some run whether it was started, and
-// a poll with the present token may tell.
+// NeedsPoll reports whether a poll with the present token may tell of some run whether it
+// was started, or that no order of an earlier incarnation of the agent takes effect any more.
 func (g *Guard) NeedsPoll() bool {
+	if !g.settledOnce && !g.lastPoll.IsZero() && g.ackedToken <= g.bornToken() && g.token > g.bornToken() {
+		return true
+	}
 	for _, r := range g.runs {
 		if r.phase == unclear && r.token >= g.ackedToken || r.fence > g.ackedToken {
 			return true
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -235,8 +235,8 @@
 	const highestSeen = 3_600_000
 	for tries := 0; d.g.Token() <= highestSeen; tries++ {
 		asked := d.g.Token()
-		d.g.TokenRejected(d.now, d.clock, asked)
-		d.g.TokenRejected(d.now, d.clock, asked) // for a concurrent poll
+		d.g.TokenRejected(d.now, d.now, d.clock, asked)
+		d.g.TokenRejected(d.now, d.now, d.clock, asked) // for a concurrent poll
 		if tries > 30 {
 			t.Fatalf("token %d after %d rejections", d.g.Token(), tries)
 		}
