Use a restarted worker once it has described itself

Cause: an agent kept the ID, labels and capacity of the former incarnation until the next heartbeat.

Evidence: TestRestartedWorkerKeepsItsOldDescription fails before the change: the former description counts, and a start is sent.

Change: a poll that shows another incarnation drops the description.

Why it works: no task is placed on a worker that has not described itself.

--- a/worker/worker.go
+++ b/worker/worker.go
@@ -191,7 +191,7 @@
 		}
 		return
 	}
-	g.target.Born = born
+	g.target, g.hasTarget = work.Target{Born: born}, false // until the new incarnation describes itself
 	g.expireWithheld(now)
 	g.ackedToken, g.lastEnd, g.workerClock, g.maxLeaseUntil = 0, 0, 0, 0
 	g.updateClock(now, clock)
