Deliver a withdrawal before the next call of the job is taken

Cause: an entry loses its home for a moment, ends its session there and hands the job to the same home again. If that message is the first of the new session, the home withdraws the job of the earlier one, adds the new call to those that wait for the job, and only then delivers the outcome of the withdrawal: it answers the new call, since waiting calls are found by the job's ID. The caller gets 504 at once. The job goes on, and no call is left that could withdraw it. The caller submits it again 1.3 s later, maybe to an entry with another home, which knows of no earlier run.

In the log: the job is withdrawn ("its entry gave it up"), answered as cancelled and taken over within some milliseconds.

Change: the decisions about an earlier session are delivered as soon as the new session is recorded.

Why it works: the earlier call gets the outcome that is meant for it, and the new one waits for the job, so it can be withdrawn.

The same cause elsewhere: calls that wait for a job to be stored, or for a stored job's end, are answered with the state of the job and can't be mixed up.

--- a/site/home.go
+++ b/site/home.go
@@ -135,11 +135,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.recordContactLocked(entrySession{life, session}, echo)
-	h.deliverDecisions()
 }
 
-// recordContactLocked is recordContact with mu held and without delivering
-// decisions. It reports whether the session is the newest of the entry and in contact.
+// recordContactLocked is recordContact with mu held. It delivers only the decisions about
+// earlier sessions, which must not answer calls of this one. It reports whether the session
+// is the newest of the entry and in contact.
 //
 // A message may be late by seconds, and its entry may have handed its jobs to another
 // home meanwhile. So the time of the contact is that of the echo: the entry was in
@@ -163,6 +163,7 @@
 	h.entries[c.life] = entryContact{c.session, contact}
 	if c.session > previous.session {
 		h.withdrawSessions("its entry gave it up", func(o entrySession) bool { return o.life == c.life && o.session < c.session })
+		h.deliverDecisions()
 	}
 	return now.Sub(contact) <= withdrawJobsAfter
 }
