Bound the lease of a worker by the contact with the home of its runs

Cause: bounds that are added up do not nest. An agent renewed the lease of its worker in full until a stop was overdue, 0.55 s after the last contact with the home, so a run could last 1.17 s after that contact. The home may be lost up to 0.52 s after the entry without having stopped the job, and the caller is back 1.3 s after the loss of its entry at another home, which knows of no run.

Change: from a contact that is renewContactAge old, each renewal is shorter by what the contact is older, so the lease ends 0.15 and 0.6 s after the contact at the latest, whatever becomes of stops. An exchange that waits takes less than 0.15 s, so nothing changes while the home is there. The times that homes and entries wait are as before, for agents of earlier builds and as a reserve.

Why it works: 0.52 and 0.77 s are less than the 1.3 s after which callers submit again; times_test.go has this chain as a case of its own.

--- a/site/site.go
+++ b/site/site.go
@@ -54,9 +54,9 @@
 )
 
 // The chain of leases. A run ends at the latest
-//   - stopRunsAfter after the last contact of its home with a working agent,
-//   - workerStopTime and workerLease later if the agent has stopped working or the worker
-//     does not carry out the stop.
+//   - stopRunsAfter after the last contact of its home with a working agent whose worker
+//     carries out the stop,
+//   - renewContactAge and workerLease after that contact in any case.
 const (
 	workerLease             = 600 * time.Millisecond            // covers three lost polls
 	pollWait                = 100 * time.Millisecond            // a poll returns at the end of a run, or after this time
@@ -69,23 +69,24 @@
 	leaseEndsAfter          = workerLease + 40*time.Millisecond // the worker's clock may be 2% slow
 	workerStopTime          = 100 * time.Millisecond            // in which a worker carries out a stop, one lost message included; the lease is not renewed after it
 	agentTickInterval       = stopRunsAfter / 4
-	stopRunsAfter           = 450 * time.Millisecond                 // an agent stops the runs of a home that is out of contact for this long
-	orderMaxAge             = 400 * time.Millisecond                 // greatest age of the echo of an order that an agent takes
-	syncWait                = 100 * time.Millisecond                 // a sync waits this long for events, so that an agent is in contact with its home four times in stopRunsAfter
-	syncWaitPerAgent        = time.Millisecond                       // of the wait of a sync, for each agent of the site
-	greetIntervalPerEntry   = 2500 * time.Microsecond                // of the interval between greetings of a home, for each known entry
-	maxSyncWait             = 200 * time.Millisecond                 // for agents with tasks; suspectAfter less the time of a message that is sent again
-	maxIdleSyncWait         = 400 * time.Millisecond                 // for agents without tasks
-	suspectIdleAfter        = maxIdleSyncWait + 150*time.Millisecond // suspectAfter for agents without tasks
-	syncSlack               = 120 * time.Millisecond                 // for the answer to a sync that has waited
-	suspectAfter            = 300 * time.Millisecond                 // an agent that is out of contact for this long gets no new task
-	runsLostAfter           = stopRunsAfter + workerStopTime + leaseEndsAfter
-	withdrawJobsAfter       = 450 * time.Millisecond // a home withdraws the jobs of an entry that is out of contact for this long
-	homeContactTimeout      = 350 * time.Millisecond // a home that is out of contact for this long counts as lost
-	homeGreetInterval       = 100 * time.Millisecond // between greetings of a home, so that it is in contact with an entry four times in withdrawJobsAfter
-	maxHomeGreetInterval    = 150 * time.Millisecond // so that a home is in contact with an entry three times in withdrawJobsAfter
-	idleHomeGreetInterval   = 200 * time.Millisecond // for a home that has no jobs of this entry; shorter than homeContactTimeout
-	panelNamedFor           = time.Second            // how long an entry is greeted like the panel after another entry named it
+	renewContactAge         = 150 * time.Millisecond                          // contact with a home from which on an agent shortens the lease; an exchange that waits takes less
+	stopRunsAfter           = 450 * time.Millisecond                          // an agent stops the runs of a home that is out of contact for this long
+	orderMaxAge             = 400 * time.Millisecond                          // greatest age of the echo of an order that an agent takes
+	syncWait                = 100 * time.Millisecond                          // a sync waits this long for events, so that an agent is in contact with its home four times in stopRunsAfter
+	syncWaitPerAgent        = time.Millisecond                                // of the wait of a sync, for each agent of the site
+	greetIntervalPerEntry   = 2500 * time.Microsecond                         // of the interval between greetings of a home, for each known entry
+	maxSyncWait             = 200 * time.Millisecond                          // for agents with tasks; suspectAfter less the time of a message that is sent again
+	maxIdleSyncWait         = 400 * time.Millisecond                          // for agents without tasks
+	suspectIdleAfter        = maxIdleSyncWait + 150*time.Millisecond          // suspectAfter for agents without tasks
+	syncSlack               = 120 * time.Millisecond                          // for the answer to a sync that has waited
+	suspectAfter            = 300 * time.Millisecond                          // an agent that is out of contact for this long gets no new task
+	runsLostAfter           = stopRunsAfter + workerStopTime + leaseEndsAfter // also at agents that renew leases whatever the age of the contact
+	withdrawJobsAfter       = 450 * time.Millisecond                          // a home withdraws the jobs of an entry that is out of contact for this long
+	homeContactTimeout      = 350 * time.Millisecond                          // a home that is out of contact for this long counts as lost
+	homeGreetInterval       = 100 * time.Millisecond                          // between greetings of a home, so that it is in contact with an entry four times in withdrawJobsAfter
+	maxHomeGreetInterval    = 150 * time.Millisecond                          // so that a home is in contact with an entry three times in withdrawJobsAfter
+	idleHomeGreetInterval   = 200 * time.Millisecond                          // for a home that has no jobs of this entry; shorter than homeContactTimeout
+	panelNamedFor           = time.Second                                     // how long an entry is greeted like the panel after another entry named it
 	panelGreetInterval      = 400 * time.Millisecond
 	greetTimeout            = 250 * time.Millisecond
 	greetAnswerTimeout      = 150 * time.Millisecond  // for the answer to a greeting between entries
@@ -155,7 +156,7 @@
 
 // GuardConfig returns the limits of an agent's guard.
 func GuardConfig(n *platform.Node) worker.Config {
-	return worker.Config{Lease: workerLease, LongestLease: n.MaxWorkerLease, EntryContactTimeout: stopRunsAfter, StopTime: workerStopTime, HolderContactTimeout: stopStoredRunsAfter, OrderMaxAge: orderMaxAge, EventRetention: peerRetention, SealRetention: sealRetention, WorkerContactTimeout: workerContactTimeout, OrderDelay: orderDelay, TenureMaxAge: tenureDuration, StallAge: stallAge}
+	return worker.Config{Lease: workerLease, LongestLease: n.MaxWorkerLease, EntryContactTimeout: stopRunsAfter, RenewalContactAge: renewContactAge, StopTime: workerStopTime, HolderContactTimeout: stopStoredRunsAfter, OrderMaxAge: orderMaxAge, EventRetention: peerRetention, SealRetention: sealRetention, WorkerContactTimeout: workerContactTimeout, OrderDelay: orderDelay, TenureMaxAge: tenureDuration, StallAge: stallAge}
 }
 
 // HomeConfig returns the limits of a home's scheduler core.
--- a/site/times_test.go
+++ b/site/times_test.go
@@ -32,7 +32,7 @@
 		latency    = 4 * time.Millisecond
 	)
 	leaseEnds := time.Duration(float64(workerLease)*(1+clockDrift)) + latency
-	homeLost := stopRunsAfter + workerStopTime + leaseEnds // since the last contact of the home and the agent
+	homeLost := renewContactAge + leaseEnds // since the last contact of the home and the agent
 	entryLost := withdrawnRunsStopAfter + latency + workerStopTime + leaseEnds
 	for _, tc := range []struct {
 		name         string
@@ -42,6 +42,7 @@
 		{"a home gives up the stored runs of a silent agent", stopStoredRunsAfter + agentTickInterval + leaseEnds, storedRunsLostAfter},
 		{"a caller submits again after its entry, the home, was lost", homeLost, retransmitDelay},
 		{"a caller submits again after its entry, not the home, was lost", entryLost, retransmitDelay},
+		{"a caller submits again after its entry and then the home were lost", withdrawnRunsStopAfter + latency + homeLost, retransmitDelay},
 		{"a home takes over a job, an agent is out of contact with both homes", withdrawnRunsStopAfter + latency + homeLost, RunsOfLostHomeEndAfter},
 		{"another holder of the ledger goes on without an agent", tenureDuration + agentTickInterval + leaseEnds, previousRunsEndAfter},
 	} {
--- a/worker/withhold.go
+++ b/worker/withhold.go
@@ -32,6 +32,20 @@
 	return now.Sub(g.homeState(r.entry).lastContact) > g.cfg.EntryContactTimeout+g.cfg.StopTime
 }
 
+// contactLag returns by how much the oldest contact with the entry of a run exceeds
+// Config.RenewalContactAge.
+func (g *Guard) contactLag(now time.Time) (lag time.Duration) {
+	if g.cfg.RenewalContactAge == 0 {
+		return 0
+	}
+	for _, r := range g.runs {
+		if !r.start.Stored {
+			lag = max(lag, now.Sub(g.homeState(r.entry).lastContact)-g.cfg.RenewalContactAge)
+		}
+	}
+	return lag
+}
+
 // updateUnsettled records since when the worker lists runs that are not known here.
 func (g *Guard) updateUnsettled(now time.Time) {
 	switch {
--- a/worker/withhold_test.go
+++ b/worker/withhold_test.go
@@ -182,3 +182,27 @@
 		t.Errorf("run %v has ended, want %v", e.Run, run(0, 1))
 	}
 }
+
+// TestLeaseOutlastsItsContact guards against a run that goes on longer than others assume, as its
+// lease was renewed in full until its stop was overdue.
+func TestLeaseOutlastsItsContact(t *testing.T) {
+	c := cfg
+	c.RenewalContactAge = 150 * time.Millisecond
+	d := &driver{t: t, g: worker.NewGuard(c), now: time.Unix(1000, 0), clock: 5 * time.Second, born: 7}
+	d.sendHeartbeat(false)
+	d.answerPoll(0)
+	d.order(start(0, 1, 10))
+	d.g.Started(d.now, run(0, 1), "", false)
+	contact := d.clock
+	for range 100 {
+		if until, limit := d.g.LeaseUntil(d.now), contact+c.RenewalContactAge+c.Lease; until > limit {
+			t.Fatalf("lease until %v at %v, want at most %v", until, d.clock, limit)
+		}
+		d.advance(10 * time.Millisecond)
+		d.answerPoll(0, run(0, 1))
+	}
+	d.g.RecordContact(d.now, "e1", d.now)
+	if until := d.g.LeaseUntil(d.now); until != d.clock+c.Lease {
+		t.Errorf("lease until %v after contact, want %v", until, d.clock+c.Lease)
+	}
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -56,8 +56,13 @@
 type Config struct {
 	Lease time.Duration // of the worker's runs; renewed with every poll
 	// LongestLease is the longest lease that the worker grants, whatever is requested.
-	LongestLease         time.Duration
-	EntryContactTimeout  time.Duration // longest time without contact to an entry before its runs are stopped
+	LongestLease        time.Duration
+	EntryContactTimeout time.Duration // longest time without contact to an entry before its runs are stopped
+	// RenewalContactAge is the age of the contact with the entry of a run up to which the lease is
+	// renewed in full. An older contact shortens the lease by the difference, so that it ends
+	// at most Lease and RenewalContactAge after the contact, whatever becomes of stops. Zero
+	// means that the lease does not depend on the contact.
+	RenewalContactAge    time.Duration
 	HolderContactTimeout time.Duration // longest time without contact to the ledger's holder before runs of stored jobs are stopped
 	OrderMaxAge          time.Duration // highest age of the echo of an order that is accepted
 	EventRetention       time.Duration // how long the events of an entry out of contact are retained
@@ -240,8 +245,12 @@
 	if g.workerClock == 0 || !g.settledOnce || g.outOfContact || g.withheld || !g.renewalPausedAt.IsZero() {
 		return 0
 	}
+	lease := g.cfg.Lease - g.contactLag(now)
+	if lease <= 0 {
+		return 0
+	}
 	elapsed := time.Duration(float64(now.Sub(g.clockReadAt)) / maxClockDrift) // a fast estimate would lengthen the lease
-	until := g.workerClock + elapsed + g.cfg.Lease
+	until := g.workerClock + elapsed + lease
 	g.maxLeaseUntil, g.renewedAt = max(g.maxLeaseUntil, until), now
 	return until
 }
