Log runs that a worker lists and its agent does not know

Cause: the agent forgets a run with its end, so it can't tell a list that was made before that end from a run that was started although its end had been concluded.

It logs 'unknown run listed' and 'unknown run ended' with the cause, the worker's start time and clock, and who ordered the run when and how it was taken for ended. Lists that a later one has overtaken are counted only (unknown_runs_listed by cause), and their stops have the reason 'listed before its end'. 'worker changed' tells the start time before, and the starts that were open. Refused starts and polls tell which incarnation refused, and refused stops are logged. No decision changes: the same stops are sent.

--- a/schedule/ejection.go
+++ b/schedule/ejection.go
@@ -38,16 +38,12 @@
 		c.recordFailure(now, t, j, e.Run) // the worker has answered falsely
 		j.avoidAgent(t.agent)
 		return
-	case e.End == work.Lapsed && e.Reason == lapsedSilent:
+	case e.End == work.Lapsed && e.Reason == worker.Unanswering:
 		c.ejection.Lost(now, t.agent)
 	}
 	c.ejection.Unproven(now, t.agent, e.Run)
 }
 
-// lapsedSilent is the reason with which agents report runs that were lost since the worker
-// did not answer.
-const lapsedSilent = "worker does not answer"
-
 // recordIncarnation records that another incarnation of a worker, or another worker, runs.
 func (c *Core) recordIncarnation(now time.Time, t *target, reported *work.Target) {
 	switch {
--- a/site/agent.go
+++ b/site/agent.go
@@ -202,16 +202,18 @@
 		}
 	}
 	if after, ok := a.guard.Target(); ok != known || after.Draining != before.Draining || after.Born != before.Born || !wasCold && a.guard.ColdLeft(a.now()) > 0 || a.evacuations.isActive && after.Zone != before.Zone {
-		a.targetChanged()
+		a.targetChanged(before, a.openStarts(before, 0))
 		go a.poll(0)
 	}
 }
 
-// targetChanged records that the description of the worker has changed. The caller holds mu.
-func (a *Agent) targetChanged() {
+// targetChanged records that the description of the worker has changed from before, with the
+// starts that were open then. The caller holds mu.
+func (a *Agent) targetChanged(before work.Target, open openStarts) {
 	t, serves := a.guard.Target()
 	a.log.Info().Str("worker", t.ID).Int64("born", t.Born).Bool("draining", t.Draining).Bool("serves", serves).
-		Int("cpu", t.Capacity.CPU).Strs("labels", t.Labels).Msg("worker changed")
+		Int("cpu", t.Capacity.CPU).Strs("labels", t.Labels).Int64("bornBefore", before.Born).Int("runs", open.runs).
+		Int("startsUnanswered", open.unanswered).Int("startsConcluded", open.concluded).Uint64("token", open.token).Msg("worker changed")
 	a.targetVersion++
 	a.signalEvents()
 }
@@ -297,7 +299,7 @@
 		if ans.Reason == platform.ReasonFence {
 			a.guard.TokenRejected(now, a.timeOfDay.Now(), ans.Clock, token)
 		}
-		a.log.Info().Str("reason", ans.Reason).Uint64("token", token).Msg("poll refused by the worker")
+		a.log.Info().Str("reason", ans.Reason).Uint64("token", token).Int64("answeredBy", ans.Born).Msg("poll refused by the worker")
 		return ans.Reason == platform.ReasonFence
 	}
 	a.logWorkerContact(false, nil)
@@ -313,9 +315,10 @@
 	}
 	a.logCutList(ans.EndsCut)
 	before, _ := a.guard.Target()
+	open := a.openStarts(before, ans.Born)
 	a.guard.PollAnswered(now, snapshot)
 	if after, _ := a.guard.Target(); after.Born != before.Born || after.ID != before.ID {
-		a.targetChanged()
+		a.targetChanged(before, open)
 	}
 	a.executeOrders()
 	if a.guard.Running() != runsBefore {
--- a/site/agent_orders.go
+++ b/site/agent_orders.go
@@ -21,6 +21,7 @@
 		}
 	}
 	a.reportStopped()
+	a.reportUnknown()
 	a.reportLease()
 }
 
@@ -33,11 +34,12 @@
 	}
 	a.leaseWithheld = withheld
 	a.signalEvents()
+	t, _ := a.guard.Target()
 	if withheld {
-		a.log.Warn().Int("runs", a.guard.Running()).Msg("lease withheld: a run goes on after its stop")
+		a.log.Warn().Int("runs", a.guard.Running()).Int64("born", t.Born).Msg("lease withheld: a run goes on after its stop")
 		return
 	}
-	a.log.Info().Int("runs", a.guard.Running()).Msg("lease renewed again")
+	a.log.Info().Int("runs", a.guard.Running()).Int64("born", t.Born).Uint64("token", a.guard.Token()).Msg("lease renewed again")
 }
 
 // reportStopped logs how long the runs that were stopped went on. The caller holds mu.
@@ -68,7 +70,8 @@
 	}
 	if err != nil {
 		a.metrics.unanswered.Inc(1)
-		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Uint64("token", o.Token).Msg("start not answered")
+		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Str("home", o.Home).Int64("born", o.Born).Uint64("token", o.Token).
+			Int64("leaseUntilMs", o.Until.Milliseconds()).Msg("start not answered")
 		a.guard.Unanswered(o.Start.Run)
 		go a.poll(0) // with the higher fencing token
 		return
@@ -82,7 +85,8 @@
 	} else {
 		reason = ans.Reason
 		a.metrics.refused.Inc(1)
-		a.runLog.Info().Str("run", o.Start.Run.String()).Str("reason", reason).Uint64("token", o.Token).Msg("start refused by the worker")
+		a.runLog.Info().Str("run", o.Start.Run.String()).Str("home", o.Home).Str("reason", reason).Uint64("token", o.Token).
+			Int64("born", o.Born).Int64("answeredBy", ans.Born).Msg("start refused by the worker")
 	}
 	a.guard.Started(a.now(), o.Start.Run, reason, reason == platform.ReasonFence)
 	a.executeOrders()
@@ -95,8 +99,12 @@
 	a.runLog.Info().Str("run", o.Start.Run.String()).Str("reason", o.Reason).Uint64("token", o.Token).Msg("stop ordered")
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	if _, err := a.worker.Stop(ctx, o.Start.Run, o.Token); err != nil {
+	ans, err := a.worker.Stop(ctx, o.Start.Run, o.Token)
+	switch {
+	case err != nil:
 		// The next poll repeats the order if the run is still there.
 		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Msg("stop not answered")
+	case !ans.Accepted:
+		a.runLog.Info().Str("run", o.Start.Run.String()).Str("reason", ans.Reason).Uint64("token", o.Token).Int64("answeredBy", ans.Born).Msg("stop refused by the worker")
 	}
 }
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -13,6 +13,7 @@
 	"masticbay/schedule"
 	"masticbay/telemetry"
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // latencyBuckets are the bounds of the histograms: from the time of a message between
@@ -76,6 +77,8 @@
 	evacuated   tally.Gauge     // evacuated data centres
 	startTime   tally.Histogram // answer time of starts
 	stopTime    tally.Histogram // from the first request of a stop to the end of the run
+	// Runs that the worker lists as running, or as ended, and that are not known here.
+	unknownListed, unknownEnded map[worker.UnknownCause]tally.Counter
 }
 
 func newAgentMetrics() *agentMetrics {
@@ -86,6 +89,7 @@
 		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), workerConns: s.Gauge("worker_connections_opened"), orphaned: s.Counter("runs_orphaned"),
 		evacuated: s.Gauge("evacuated_data_centres"),
 		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
+		unknownListed: newUnknownCounters(s, "unknown_runs_listed"), unknownEnded: newUnknownCounters(s, "unknown_runs_ended"),
 	}
 }
 
--- a/worker/order.go
+++ b/worker/order.go
@@ -14,6 +14,8 @@
 	Token  uint64
 	Until  time.Duration // end of the lease, on the worker's clock
 	Reason string        // of a stop
+	Home   string        // that ordered a start
+	Born   int64         // incarnation of the worker for which a start is meant
 }
 
 // Order takes starts and stops from an entry. Starts that are refused produce
@@ -70,8 +72,8 @@
 }
 
 func (g *Guard) sendStart(now time.Time, r *run) {
-	r.phase, r.token, r.sentAt = ordered, g.token, now
-	g.orders = append(g.orders, Order{Worker: g.target.ID, Start: r.start, Token: g.token, Until: g.LeaseUntil(now)})
+	r.phase, r.token, r.sentAt, r.born = ordered, g.token, now, g.target.Born
+	g.orders = append(g.orders, Order{Worker: g.target.ID, Start: r.start, Token: g.token, Until: g.LeaseUntil(now), Home: r.entry, Born: r.born})
 }
 
 // Take returns the orders to carry out now.
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -63,6 +63,8 @@
 				r.checkpoint = e.Checkpoint
 			}
 			g.finishListed(now, e.Run.Task, e.Number, e.End, "")
+		} else {
+			g.recordUnknownEnd(now, &snapshot, &e)
 		}
 	}
 	g.reconcile(now, snapshot)
@@ -78,7 +80,11 @@
 		known, ok := g.runs[r.Task]
 		if !ok || known.start.Run != r {
 			g.settled = false
-			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token, Reason: stopUnknown})
+			reason := stopUnknown
+			if g.recordUnknown(now, &snapshot, r) == Overtaken {
+				reason = stopOvertaken
+			}
+			g.orders = append(g.orders, Order{Stop: true, Start: work.Start{Run: r}, Token: g.token, Reason: reason})
 			continue
 		}
 		known.listed()
@@ -114,13 +120,19 @@
 	}
 }
 
+// The reasons of ends that were concluded from the silence of the worker.
+const (
+	NoAnswer    = "no answer"              // a start was not answered, and a list under a higher token does not show it
+	Unanswering = "worker does not answer" // the leases have expired
+)
+
 // endIfUnlisted returns the end of an unclear run that the worker lists neither among its
 // runs nor among all of its ends, and the reason.
 func (r *run) endIfUnlisted() (end work.End, reason string) {
 	if r.workerRestarted {
 		return work.Lapsed, "worker started anew"
 	}
-	return work.Refused, "no answer"
+	return work.Refused, NoAnswer
 }
 
 // updateProgress records the progress of a run, and whether it is slow or stalled.
@@ -190,7 +202,7 @@
 	}
 	for _, ref := range g.sortedTasks() {
 		if g.hasEnded(now, g.runs[ref]) {
-			g.finish(now, ref, work.Lapsed, "worker does not answer")
+			g.finish(now, ref, work.Lapsed, Unanswering)
 		}
 	}
 }
--- a/worker/stop.go
+++ b/worker/stop.go
@@ -13,6 +13,7 @@
 	stopNoHolder  = "the ledger's holder is out of contact"
 	stopSealed    = "another home has the job"
 	stopUnknown   = "not known to this agent"
+	stopOvertaken = "listed before its end"
 	stopRepeated  = "repeated"
 )
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -93,6 +93,7 @@
 	entry           string
 	phase           phase
 	token           uint64        // with which its start was last sent
+	born            int64         // incarnation of the worker for which its start was last sent
 	orderedAt       time.Time     // first start order
 	sentAt          time.Time     // last start order
 	stopRequestedAt time.Time     // last stop request
@@ -147,6 +148,7 @@
 	withheld         bool      // the lease is not renewed, as a run goes on without permission
 	evacuated        evacuation.Set
 	startsHeld       bool // until the evacuated data centres are known
+	history          history
 }
 
 // NewGuard returns a Guard of a worker that has not sent a heartbeat yet.
@@ -206,6 +208,7 @@
 	for _, r := range g.runs {
 		r.phase, r.workerRestarted = unclear, true
 	}
+	clear(g.history.unknown)
 	g.raiseToken()
 	g.uncommitted, g.mayListInherited, g.renewalPausedAt = nil, false, time.Time{}
 	for _, s := range g.homes {
@@ -283,6 +286,7 @@
 	r := g.runs[ref]
 	delete(g.runs, ref)
 	g.recordStopped(now, r, end)
+	g.rememberEnd(now, r, end, reason, endNumber > 0)
 	e := Event{Run: r.start.Run, End: end, Reason: reason, Took: now.Sub(r.orderedAt), Stored: r.start.Stored, Checkpoint: r.checkpoint}
 	if e.Stored && endNumber > 0 && (end == work.Done || end == work.Failed) {
 		e.endNumber = endNumber
