Refuse a call that was held up, whatever other messages have arrived

Cause: a home judged the age of a call by the newest contact with its entry, not by the echo in the call. The first greetings of the entry, which have no echo yet, had been held up with the calls and counted as contact at that moment.

Change: a call is taken only if its own echo is recent. A message without an echo renews the contact only before the first message with one.

Why it works: an entry gives a job up no later than its call may be taken, as the entry learns of the stamp in the echo before it makes the call.

--- a/site/home.go
+++ b/site/home.go
@@ -78,6 +78,7 @@
 type entryContact struct {
 	session     uint64
 	lastContact time.Time
+	echoed      bool // a message has echoed a stamp of this home
 }
 
 // entrySession identifies a session of an entry at this home; see RunArgs.
@@ -139,33 +140,39 @@
 
 // recordContactLocked is recordContact with mu held. It delivers only the decisions about
 // earlier sessions, which must not answer calls of this one. It reports whether the session
-// is the newest of the entry and in contact.
+// is the newest of the entry and the message recent.
 //
 // A message may be late by seconds, and its entry may have handed its jobs to another
 // home meanwhile. So the time of the contact is that of the echo: the entry was in
-// contact when this home issued the stamp, but maybe not later. An echo of 0 counts as
-// the present; only the first greetings of an entry have none.
+// contact when this home issued the stamp, but maybe not later. Only the first greetings
+// of an entry have no echo. Before the first message with one, an echo of 0 counts as the
+// present.
 func (h *home) recordContactLocked(c entrySession, echo time.Duration) bool {
 	previous := h.entries[c.life]
 	if c.session < previous.session || c.session > maxSession {
 		return false
 	}
 	now := h.e.now()
-	contact := now
-	if echo > 0 && c.life != h.e.life {
-		if contact = fromStamp(echo); contact.After(now) {
+	sent := now
+	switch {
+	case c.life == h.e.life:
+	case echo > 0:
+		if sent = fromStamp(echo); sent.After(now) {
 			return false // not a stamp of this home
 		}
+	case previous.echoed:
+		sent = previous.lastContact
 	}
+	contact := sent
 	if contact.Before(previous.lastContact) {
 		contact = previous.lastContact
 	}
-	h.entries[c.life] = entryContact{c.session, contact}
+	h.entries[c.life] = entryContact{c.session, contact, previous.echoed || echo > 0}
 	if c.session > previous.session {
 		h.withdrawSessions("its entry gave it up", func(o entrySession) bool { return o.life == c.life && o.session < c.session })
 		h.deliverDecisions()
 	}
-	return now.Sub(contact) <= withdrawJobsAfter
+	return now.Sub(sent) <= withdrawJobsAfter
 }
 
 // busy reports whether this home still runs tasks, has waiters, or has changes to
