Drop replies of an earlier incarnation of an agent

Cause: a home takes another incarnation in a reply for a newer one and ends all runs at the agent. A reply of the earlier incarnation that is processed after one of the later ends the runs that the later one has, and their tasks start elsewhere.

Evidence: TestReplyOfEarlierIncarnationEndsRuns fails before the change.

Change: a reply to a request that was sent before the present incarnation became known decides nothing if it names another one.

Why it works: only a request that is sent afterwards is certainly answered by the present incarnation or a later one.

--- a/site/link.go
+++ b/site/link.go
@@ -16,7 +16,8 @@
 	agent         string
 	client        *wire.Client
 	stop          chan struct{}
-	life          string // incarnation of the agent; empty before its first report
+	life          string    // incarnation of the agent; empty before its first report
+	lifeSince     time.Time // when the first report of that incarnation was received
 	echo          time.Duration
 	echoReceived  time.Time    // when echo was received
 	orders        []orderBatch // not acknowledged by the agent
@@ -164,7 +165,10 @@
 // acknowledgement of orders and its report. The caller holds home.mu.
 func (l *link) takeReply(sentAt time.Time, rep *SyncReply) {
 	if rep.Report.Life != l.life {
-		l.life, l.orders, l.echo, l.targetVersion = rep.Report.Life, nil, 0, 0
+		if !l.lifeSince.IsZero() && !sentAt.After(l.lifeSince) {
+			return // an earlier incarnation may have answered
+		}
+		l.life, l.orders, l.echo, l.targetVersion, l.lifeSince = rep.Report.Life, nil, 0, 0, l.h.e.now()
 	}
 	if rep.Report.Target.ID != "" {
 		l.target = rep.Report.Target
--- a/site/link_test.go
+++ b/site/link_test.go
@@ -75,3 +75,33 @@
 		t.Errorf("the new link sent order %d after order %d, want a higher number", after, before)
 	}
 }
+
+// TestReplyOfEarlierIncarnationEndsRuns guards against a double run: a reply of an agent's earlier
+// incarnation is taken after that of a later one, and the runs of the latter count as ended.
+func TestReplyOfEarlierIncarnationEndsRuns(t *testing.T) {
+	e := testEntry()
+	h := newHome(e)
+	defer h.close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	report := func(life string) schedule.Report {
+		return schedule.Report{Life: life, Ready: true, Settled: true, Target: work.Target{ID: "w", Born: 1, Service: "s", Capacity: work.Room{CPU: 100}}}
+	}
+	l := newLink(h, "a1")
+	h.links["a1"] = l
+	sentAt := h.e.now()
+	l.takeReply(sentAt, &SyncReply{Stamp: time.Hour, Report: report("life-1")})
+	l.takeReply(h.e.now(), &SyncReply{Stamp: time.Hour + 2*time.Second, Report: report("life-2")})
+	job := work.Job{ID: "j", Left: time.Minute, Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 1, Stretch: 2, Target: time.Second}, Steps: []work.Step{{Count: 1, Room: work.Room{CPU: 10}, Estimate: time.Second}}}
+	h.core.Submit(h.e.now(), job, 0)
+	h.deliverDecisions()
+	if !h.core.HasRuns("a1") {
+		t.Fatal("the job was not placed")
+	}
+	placed := h.lastOrder
+	l.takeReply(sentAt, &SyncReply{Stamp: time.Hour + time.Second, Report: report("life-1")})
+	h.deliverDecisions()
+	if h.lastOrder != placed || !h.core.HasRuns("a1") {
+		t.Errorf("order %d after order %d: the run at the present incarnation was taken for ended", h.lastOrder, placed)
+	}
+}
