Count no contact with a new holder beyond its tenure

Cause: an agent that takes a higher epoch counted the present as contact with the holder, whenever its message was sent. Runs of jobs that are not stored and belong to that home went on for up to 0.45 s longer than the home assumes.

Evidence: TestNewTenureRenewsContact fails before the change: no run is stopped 451 ms after the last contact.

Change: the contact is as recent as the renewal of the tenure that the message names, or its echo.

Why it works: the holder was in contact with the store then, and the home counts from later on. The tests of stored jobs in ./failure pass.

--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -103,3 +103,18 @@
 		t.Errorf("event %d after the home has taken event %d", got, taken)
 	}
 }
+
+// TestNewTenureRenewsContact guards against a double run: a message that was held up announces a
+// tenure, and the runs of its home go on as if the home were in contact.
+func TestNewTenureRenewsContact(t *testing.T) {
+	d := newDriver(t)
+	d.startRunning(0, 1)
+	echo := d.now
+	d.advance(cfg.EntryContactTimeout - time.Millisecond)
+	d.g.RecordContact(d.now, "e1", echo)
+	d.g.ApplyTenure(d.now, "e1", worker.Tenure{Epoch: 1, RenewedAt: echo})
+	d.advance(2 * time.Millisecond)
+	if stopped := d.g.Tick(d.now); len(stopped) != 1 {
+		t.Errorf("%d runs stopped %v after the last contact with their home, want 1", len(stopped), d.now.Sub(echo))
+	}
+}
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -42,8 +42,8 @@
 	}
 	previous := g.holder
 	g.tenure, g.holder = t, entry
-	if s := g.homeState(entry); s.lastContact.Before(now) {
-		s.lastContact = now // its contact starts now; the entry itself relies on this worker only after it gets the answer
+	if s := g.homeState(entry); s.lastContact.Before(t.RenewedAt) {
+		s.lastContact = t.RenewedAt
 	}
 	for _, r := range g.runs {
 		if r.start.Stored {
