Ask a former home for its open jobs

Cause: a home that leaves or is overloaded goes on with its jobs. The next home takes a job that is submitted again for a new one, and no agent is asked to end the runs of the former home.

Change: greetings tell whether jobs are open at the sender's home. A home asks an entry that is not home and has open jobs for their IDs. If one of them is submitted, the former home withdraws it, and it is taken over like a job of a lost home: all agents end its earlier runs before it is placed.

Why it works: the job is known before its caller is back, which is 1.3 s after it left, and only agents prove that the earlier runs have ended. It costs a former home one message each 0.5 s from each home.

Two homes at once, which can't reach one another, are not covered: see docs/FAILURES.md.

--- a/failure/conn_test.go
+++ b/failure/conn_test.go
@@ -58,8 +58,13 @@
 	s.updated = make(chan struct{})
 }
 
-func (s *stream) closeWrite() { s.update(func() { s.writerClosed = true }) }
-func (s *stream) closeRead()  { s.update(func() { s.readerClosed = true }) }
+func (s *stream) closeWrite() {
+	if !s.network.hasVanished(s.link, s.openedAt) {
+		s.update(func() { s.writerClosed = true })
+	}
+}
+
+func (s *stream) closeRead() { s.update(func() { s.readerClosed = true }) }
 
 func (s *stream) write(p []byte) (n int, err error) {
 	s.update(func() {
@@ -67,6 +72,9 @@
 			err = syscall.ECONNRESET
 			return
 		}
+		if s.network.hasVanished(s.link, s.openedAt) {
+			return
+		}
 		if s.writerClosed || s.readerClosed {
 			err = net.ErrClosed
 			return
--- a/failure/fleet_twice_test.go
+++ b/failure/fleet_twice_test.go
@@ -15,7 +15,12 @@
 // submitLate submits a job whose run takes 4.9 s. It returns a channel that is closed
 // when the caller has its answer or leaves, which it does after patience.
 func (s *fleet) submitLate(entry int, patience time.Duration) <-chan struct{} {
-	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial("caller"), DisableKeepAlives: true}}, Timeout: 8 * time.Second}
+	return s.submitLateFrom("caller", entry, patience)
+}
+
+// submitLateFrom is submitLate for a caller at a host.
+func (s *fleet) submitLateFrom(host string, entry int, patience time.Duration) <-chan struct{} {
+	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial(host), DisableKeepAlives: true}}, Timeout: 8 * time.Second}
 	step := work.Step{Count: 2, Room: work.Room{CPU: taskCPU}, Estimate: lateJobEstimate}
 	done := make(chan struct{})
 	go func() {
--- a/failure/network_test.go
+++ b/failure/network_test.go
@@ -23,6 +23,7 @@
 	blackholedBefore time.Time            // connections opened before this time carry no data
 	silentAt         map[string]time.Time // by host: connections among entries and agents that were opened earlier carry no data
 	resetAt          map[string]time.Time // by host: connections that were opened earlier are reset
+	vanishedAt       map[string]time.Time // by host: connections that were opened earlier carry nothing, not even their end
 	changed          chan struct{}        // closed and replaced when a cut or a pause begins or ends
 }
 
@@ -82,6 +83,23 @@
 	})
 }
 
+// vanish makes all open connections of a host carry nothing any more, not even their end.
+func (n *network) vanish(host string) {
+	n.update(func() {
+		if n.vanishedAt == nil {
+			n.vanishedAt = make(map[string]time.Time)
+		}
+		n.vanishedAt[host] = time.Now()
+	})
+}
+
+// hasVanished reports whether the end of a connection over a link does not show at the other side.
+func (n *network) hasVanished(l link, openedAt time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return openedAt.Before(n.vanishedAt[l.from]) || openedAt.Before(n.vanishedAt[l.to])
+}
+
 // isSilent reports whether a connection over a link drops its data.
 func (n *network) isSilent(l link, openedAt time.Time) bool {
 	n.mu.Lock()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -39,6 +39,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"masticbay/ejection"
@@ -167,6 +168,18 @@
 	return false
 }
 
+// OpenJobs returns the IDs of the jobs that are not answered yet, those stored aside.
+func (c *Core) OpenJobs() []string {
+	var open []string
+	for id, j := range c.jobs {
+		if !j.answered && !j.Stored {
+			open = append(open, id)
+		}
+	}
+	slices.Sort(open)
+	return open
+}
+
 // Delay returns how long a new job of the lowest priority would wait.
 func (c *Core) Delay(now time.Time) time.Duration {
 	ahead, speed := 0.0, 0.0
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -61,7 +61,9 @@
 	}
 	e.mu.Unlock()
 	args.Evacuation = e.evacuations.mark()
-	if st := e.home.status.Load(); args.Member.Term > 0 || args.Member.Places {
+	st := e.home.status.Load()
+	args.Open = st.open
+	if args.Member.Term > 0 || args.Member.Places {
 		args.Waiting, args.Delay, args.Vacant, args.StartRate = st.waiting, st.delay, st.vacant, st.startRate
 		args.Interference = st.pairs
 	}
@@ -100,6 +102,9 @@
 	if becameVacant {
 		e.home.reportVacant()
 	}
+	if g.Open && g.Member.Term == 0 && !g.Member.Places {
+		e.formerHomeSeen(g.Member)
+	}
 	if c := e.config.Load(); g.Config > 0 && (c == nil || c.Version() < g.Config) {
 		go e.fetchConfig(g.Member.Address)
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -38,6 +38,8 @@
 	entries        map[string]entryContact // by incarnation
 	// withdrawnCalls holds when calls were withdrawn, which may arrive later.
 	withdrawnCalls map[entryCall]time.Time
+	formerJobs     map[string]formerJob // by ID
+	formerAskedAt  map[string]time.Time // by address of a former home
 	// lastOrder is the number of the last order to any agent. It never restarts while
 	// the process runs, although links are replaced: agents take no number twice.
 	lastOrder uint64
@@ -69,6 +71,7 @@
 	delay      time.Duration       // how long a new job would wait
 	vacant     bool                // no job is stored on the site
 	storesJobs bool                // jobs are stored on the site, or are to be stored
+	open       bool                // jobs that are not stored are open
 	startRate  float64             // tasks that this home starts each second
 	pairs      []interference.Pair // of kinds of task that slow each other down
 }
@@ -190,6 +193,7 @@
 	if args.Home == "" && !h.e.placesTasks() || args.Home != "" && args.Home != h.e.life {
 		return out, true
 	}
+	h.claimFormer(ctx, args)
 	w := &waiter{entry: entrySession{args.Entry, args.Session}, call: args.Call, done: make(chan work.Outcome, 1)}
 	h.mu.Lock()
 	if h.closed || !h.recordContactLocked(w.entry, args.Echo) || h.isWithdrawn(entryCall{args.Entry, args.Call}) {
@@ -298,6 +302,7 @@
 	now := h.e.now()
 	h.dropOutOfContact(now)
 	h.forgetWithdrawn(now)
+	h.forgetFormer(now)
 	h.core.Tick(now)
 	h.deliverDecisions()
 	waiting, running := h.core.Load()
@@ -319,7 +324,7 @@
 // publishStatus updates the status that is reported to other entries. The caller holds
 // mu.
 func (h *home) publishStatus(now time.Time) {
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs)})
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), open: h.core.HasOpenJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs)})
 }
 
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
--- a/site/messages.go
+++ b/site/messages.go
@@ -24,6 +24,8 @@
 	entryState     = "Entry.State"
 	entryCancel    = "Entry.Cancel"
 	entryStore     = "Entry.Store"
+	entryOpenJobs  = "Entry.OpenJobs"
+	entryRelease   = "Entry.Release"
 )
 
 // orderBatch holds orders of a home to an agent under a rising sequence number.
@@ -96,6 +98,7 @@
 	Waiting map[string]int // by queue: jobs that have not started, if the sender is home
 	Delay   time.Duration  // how long a new job would wait, if the sender is home
 	Vacant  bool           // no job is stored on the site, if the sender is home
+	Open    bool           // jobs that are not stored are open at the sender's home
 	Stamp   time.Duration  // the sender's time
 	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
 	// StartRate is the number of tasks that the sender starts each second, if it is home.
