Count the longest lease for requests by the clock of an earlier incarnation

It needs no late order and no caller that comes back.

Cause: the first polls that a restarted worker gets, and orders that are carried out late, request a lease by the clock of its earlier incarnation, which means another time to the present one. The worker grants its longest lease, 1 s. The agent counted that only if a run was left at the restart, and otherwise 0.6 s from its own next request. A run that starts at once and whose worker is silent then counted as lapsed while it went on, and its task started elsewhere.

Evidence: TestRequestOfEarlierClockOutlastsTheLease fails before the change: the run ends 110 ms before its lease.

Change: until an answer to a poll under a token that was raised at the restart, and when the worker has seen a token that this agent does not know, the agent expects the longest lease from that moment.

Why it works: the worker refuses orders of earlier incarnations from that poll on, and grants none more than its longest lease.

--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -118,3 +118,34 @@
 		t.Errorf("%d runs stopped %v after the last contact with their home, want 1", len(stopped), d.now.Sub(echo))
 	}
 }
+
+// TestRequestOfEarlierClockOutlastsTheLease guards against a double run: a worker that has restarted
+// grants its longest lease to a request that was made by its earlier clock, although no run was left.
+func TestRequestOfEarlierClockOutlastsTheLease(t *testing.T) {
+	d := newDriver(t)
+	c := cfg
+	c.Lease = 600 * time.Millisecond
+	d.g = worker.NewGuard(c)
+	d.sendHeartbeat(false)
+	d.g.ApplyTenure(d.now, "e1", worker.Tenure{Vacant: true})
+	d.clock += time.Minute
+	d.answerPoll(0)
+	d.g.LeaseUntil(d.now) // of a poll that the restarted worker gets
+	granted := d.now.Add(cfg.LongestLease)
+	d.born, d.clock = 8, time.Second
+	d.answerEmptyPoll(0)
+	d.answerPoll(0)
+	d.sendHeartbeat(false)
+	d.order(startOf(false))
+	d.g.Started(d.now, run(0, 1), "", false)
+	for d.now.Before(granted) {
+		d.g.LeaseUntil(d.now) // of a poll that gets lost
+		d.advance(10 * time.Millisecond)
+		d.g.RecordContact(d.now, "e1", d.now)
+		d.g.PollFailed(d.now)
+		d.g.Tick(d.now)
+		if events := d.g.Events("e1", 0); len(events) > 0 {
+			t.Fatalf("run ended as %s (%s) %v before the lease", events[0].End, events[0].Reason, granted.Sub(d.now))
+		}
+	}
+}
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -52,6 +52,9 @@
 	if g.token <= g.bornToken() {
 		g.raiseToken()
 	}
+	if g.ackedToken < g.fencedFrom {
+		g.expectLongestLease()
+	}
 	g.ackedToken, g.tokenStep = max(g.ackedToken, snapshot.Token), 0
 	for _, e := range snapshot.Ended {
 		if e.Number <= g.lastEnd {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -126,6 +126,7 @@
 	token            uint64
 	tokenStep        uint64 // last increase of the token after consecutive rejections
 	ackedToken       uint64 // highest token that the worker acknowledged
+	fencedFrom       uint64 // from this token on, an acknowledgement shows that no order to an earlier incarnation takes effect
 	lastEnd          uint64 // number of the last end that was processed
 	workerClock      time.Duration
 	clockReadAt      time.Time     // when workerClock was read, at the latest
@@ -202,14 +203,12 @@
 	g.expireWithheld(now)
 	g.ackedToken, g.lastEnd, g.workerClock, g.maxLeaseUntil = 0, 0, 0, 0
 	g.updateClock(now, clock)
-	if len(g.runs) > 0 {
-		g.maxLeaseUntil = g.workerClock + max(g.cfg.LongestLease, g.cfg.Lease) // the lease that an order in transit may carry
-	}
 	for _, r := range g.runs {
 		r.phase, r.workerRestarted = unclear, true
 	}
 	clear(g.history.unknown)
 	g.raiseToken()
+	g.fencedFrom = g.token
 	g.uncommitted, g.mayListInherited, g.renewalPausedAt = nil, false, time.Time{}
 	for _, s := range g.homes {
 		for i := range s.events {
@@ -258,6 +257,12 @@
 	return until
 }
 
+// expectLongestLease records that an order which this Guard did not make for the present
+// incarnation of the worker may have requested a lease by another clock.
+func (g *Guard) expectLongestLease() {
+	g.maxLeaseUntil = max(g.maxLeaseUntil, g.workerClock+max(g.cfg.LongestLease, g.cfg.Lease))
+}
+
 // Used returns the resources that the runs of all entries take, and those that
 // the runs of entries other than the given one take.
 func (g *Guard) Used(entry string) (all, others work.Room) {
