Inject random combinations of faults into the fleet

Cause: the pairs of faults have fixed places, times and lengths, and their callers neither leave nor come back after a rejection. Change: TestFleetUnderRandomFaults draws two to four faults, their places, times and lengths; callers leave, seen or not, and submit again at other entries. Late orders, workers that are reborn, one-way cuts and agents that fail one after another are new. killEntry and killAgent end also what calls under way would send.

--- a/failure/fleet_reborn_test.go
+++ b/failure/fleet_reborn_test.go
@@ -56,7 +56,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		restarted := s.idleAgents()
 		for _, i := range restarted {
-			s.agent(i).Kill()
+			s.killAgent(i)
 			s.workers[i].Reborn("", time.Second)
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/failure/fleet_resubmit_test.go
+++ b/failure/fleet_resubmit_test.go
@@ -31,7 +31,7 @@
 		}},
 		{"home stops", 300 * time.Millisecond, func(s *fleet, home int) { s.stopEntry(home) }},
 		{"home killed", 300 * time.Millisecond, func(s *fleet, home int) {
-			s.entry(home).Kill()
+			s.killEntry(home)
 			time.Sleep(4 * time.Second)
 			s.startEntry(home)
 		}},
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -42,12 +43,19 @@
 // showLogs makes the entries and agents of a fleet log to standard error.
 var showLogs = flag.Bool("logs", false, "print the logs of the entries and agents of a fleet")
 
+// keptLog takes the logs if it is not nil.
+var keptLog *logBuffer
+
 func fleetLog(node string) zerolog.Logger {
-	if !*showLogs {
+	var out io.Writer = os.Stderr
+	switch {
+	case keptLog != nil:
+		out = keptLog
+	case !*showLogs:
 		return zerolog.Nop()
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(os.Stderr).With().Str("node", node).Timestamp().Logger()
+	return zerolog.New(out).With().Str("node", node).Timestamp().Logger()
 }
 
 // fleet is an installation on the users' platform: complete entries and agents,
@@ -68,6 +76,8 @@
 	mu            sync.Mutex // guards what follows
 	entries       [fleetEntries]*daemon.Entry
 	agents        [fleetAgents]*daemon.Agent
+	entryHosts    [fleetEntries]*processHost
+	agentHosts    [fleetAgents]*processHost
 	replies       map[string]standin.Reply
 	repliedAt     map[string]time.Time // when the reply arrived
 	mayHaveRun    map[string]bool      // jobs that may have run after an earlier submission
@@ -133,6 +143,9 @@
 // taskRunTime returns the run time of a task: the first digit of its job's ID, in
 // tenths of a second, or lateFactor times as much for a late job.
 func taskRunTime(task string, _ int) (time.Duration, bool) {
+	if task[0] == randomDigit {
+		return randomRunTime(task), false
+	}
 	runTime := time.Duration(task[0]-'0') * 100 * time.Millisecond
 	if task[0] == lateDigit {
 		runTime *= lateFactor
@@ -181,25 +194,27 @@
 func (s *fleet) startEntry(i int) {
 	n := s.node(fmt.Sprint("e", i))
 	n.Front, n.Ready = fmt.Sprint("f", i), fmt.Sprint("r", i)
-	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.network, n.Name}}, CellSize: s.cellSize})
+	h := s.newProcessHost(n.Name)
+	e, err := daemon.StartEntry(daemon.EntryOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: h, CellSize: s.cellSize})
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries[i] = e
+	s.entries[i], s.entryHosts[i] = e, h
 }
 
 func (s *fleet) startAgent(i int) {
 	n := s.node(fmt.Sprint("a", i))
 	n.Control, n.Worker = fmt.Sprint("c", i), fmt.Sprint("w", i)
-	a, err := daemon.StartAgent(daemon.AgentOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: webHost{host{s.network, n.Name}}})
+	h := s.newProcessHost(n.Name)
+	a, err := daemon.StartAgent(daemon.AgentOptions{Node: &n, Log: fleetLog(n.Name), Clock: clock.System{}, Network: h})
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.agents[i] = a
+	s.agents[i], s.agentHosts[i] = a, h
 }
 
 func (s *fleet) entry(i int) *daemon.Entry {
