Add a failing test of a late poll that extends a lease after a restart

Cause: agent and worker restart together, so a poll of the former agent carries a higher token than the orders of the new one, and an end of lease on a clock that showed more. Carried out late by the new incarnation, it extends the lease to the longest one from its arrival. The new agent, whose polls get no answer meanwhile, reports that its run has lapsed when its own renewals have expired; the task starts elsewhere while the run goes on. Change: a regression test. The random test takes a number of faults and a choice of them, and entries are used when none is in rotation.

--- a/failure/fleet_random_test.go
+++ b/failure/fleet_random_test.go
@@ -26,6 +26,7 @@
 	randomSeed    = flag.Uint64("seed", 1, "first random seed of TestFleetUnderRandomFaults")
 	randomWithout = flag.String("without", "^$", "regular expression of the faults to leave out")
 	randomOnly    = flag.String("only", "", "regular expression of the faults to draw from")
+	randomFaultsN = flag.Int("faults", 0, "number of faults of a seed; two to four if 0")
 	randomCells   = flag.Bool("cells", false, "divide the fleet into two cells")
 	failedLogs    = flag.String("failedLogs", "", "directory for the logs of the seeds that fail")
 	sameLife      = flag.Bool("sameLife", false, "drop late orders that reach a later incarnation of their worker")
@@ -40,6 +41,9 @@
 	return time.Duration(tenths) * 100 * time.Millisecond
 }
 
+// faultInterval is the mean time between faults if their number is given.
+const faultInterval = 300 * time.Millisecond
+
 // randomAttempts is how often a caller submits a job.
 const randomAttempts = 4
 
@@ -62,9 +66,13 @@
 				f.orders = lateOrders{workers: s.workers[:], sameLife: *sameLife, rng: rand.New(rand.NewPCG(seed, 1))}
 				s.setClocks()
 				var parts sync.WaitGroup
-				for range 2 + rng.IntN(3) {
+				faults, loadTime := 2+rng.IntN(3), 5*time.Second
+				if *randomFaultsN > 0 {
+					faults, loadTime = *randomFaultsN, 5*time.Second+time.Duration(*randomFaultsN)*faultInterval
+				}
+				for range faults {
 					kind := kinds[rng.IntN(len(kinds))]
-					delay, duration := time.Second+time.Duration(rng.IntN(1500))*time.Millisecond, time.Duration(200+rng.IntN(3800))*time.Millisecond
+					delay, duration := time.Second+time.Duration(rng.Int64N(int64(loadTime-5*time.Second+1500*time.Millisecond))), time.Duration(200+rng.IntN(3800))*time.Millisecond
 					own := rand.New(rand.NewPCG(rng.Uint64(), 0))
 					parts.Go(func() {
 						time.Sleep(delay)
@@ -73,7 +81,7 @@
 					})
 				}
 				c := &randomCallers{s: s, rejectedOnly: make(map[string]bool), leave: !without.MatchString("callers leave unseen")}
-				c.load(5*time.Second, rng)
+				c.load(loadTime, rng)
 				parts.Wait()
 				c.check()
 				described := ""
--- a/failure/fleet_reborn_test.go
+++ b/failure/fleet_reborn_test.go
@@ -129,3 +129,32 @@
 	s.network.resetConns(fmt.Sprint("w", i))
 	s.workers[i].Reborn(id, clockStart)
 }
+
+// TestLatePollAfterRestartExtendsLease guards against a double run: a poll of a former agent, of which
+// the present one does not know, extends the lease of its worker's next incarnation, so that a run
+// goes on after its agent has reported that it has lapsed.
+func TestLatePollAfterRestartExtendsLease(t *testing.T) {
+	runWithFleet(t, func(_ *testing.T, s *fleet) {
+		s.setClocks()
+		for _, w := range s.workers {
+			late := time.Now().Add(2400 * time.Millisecond)
+			w.SetFaults(standin.WorkerFaults{Late: func(standin.OrderKind) time.Duration { return max(time.Until(late), 0) }})
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i := range fleetAgents {
+			s.killAgent(i)
+			s.workers[i].SetFaults(standin.WorkerFaults{})
+			s.reborn(i, "", time.Second)
+			s.startAgent(i)
+		}
+		time.Sleep(1450 * time.Millisecond)
+		done := s.submitLate(s.home()+1, 8*time.Second)
+		time.Sleep(400 * time.Millisecond)
+		for _, i := range s.lateJobAgents() {
+			s.workers[i].SetFaults(standin.WorkerFaults{Late: func(standin.OrderKind) time.Duration { return 4 * time.Second }})
+			time.AfterFunc(1200*time.Millisecond, func() { s.workers[i].SetFaults(standin.WorkerFaults{}) })
+		}
+		<-done
+		s.describeRuns(lateJob + ".0.0.0")
+	})
+}
--- a/failure/fleet_test.go
+++ b/failure/fleet_test.go
@@ -284,11 +284,14 @@
 }
 
 // frontAddress returns the front address of the first entry, from the given one
-// on, that the load balancer uses.
+// on, that the load balancer uses. It uses all if none is in rotation.
 func (s *fleet) frontAddress(entry int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.outOfRotation[entry%fleetEntries] {
+	for range fleetEntries {
+		if !s.outOfRotation[entry%fleetEntries] {
+			break
+		}
 		entry++
 	}
 	return fmt.Sprint("f", entry%fleetEntries)
