--- a/failure/random_faults_test.go
+++ b/failure/random_faults_test.go
@@ -34,7 +34,7 @@
 		time.Sleep(d)
 		f.orders.set(0, false)
 	}},
-	{"worker reborn", func(f *randomFaults, rng *rand.Rand, d time.Duration) { f.rebear(rng.IntN(fleetAgents), rng) }},
+	{"worker reborn", func(f *randomFaults, rng *rand.Rand, _ time.Duration) { f.rebear(rng.IntN(fleetAgents), rng) }},
 	{"worker reborn behind a cut", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(fleetAgents)
 		f.s.cutWorker(i, d)
@@ -88,10 +88,10 @@
 			time.Sleep(d / 3)
 		}
 	}},
-	{"connections silent", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
+	{"connections silent", func(f *randomFaults, rng *rand.Rand, _ time.Duration) {
 		f.s.network.silence(fmt.Sprint("e", rng.IntN(fleetEntries)))
 	}},
-	{"entry cut off from its callers", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
+	{"entry cut off from its callers", func(f *randomFaults, rng *rand.Rand, _ time.Duration) {
 		f.s.network.vanish(fmt.Sprint("f", rng.IntN(fleetEntries)))
 	}},
 	{"entry stops", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
