Draw random numbers of a fault before its parts start

What callers saw: nothing; the race detector reported TestFleetUnderRandomFaults. Cause: two goroutines drew from one generator. Change: each part gets its own, or its numbers, before it starts.

--- a/failure/random_faults_test.go
+++ b/failure/random_faults_test.go
@@ -50,7 +50,8 @@
 	}},
 	{"agents fail one after another", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
 		for _, i := range rng.Perm(fleetAgents) {
-			f.s.goroutines.Go(func() { f.failAgent(i, rand.New(rand.NewPCG(rng.Uint64(), 0)), d) })
+			own := rand.New(rand.NewPCG(rng.Uint64(), 0))
+			f.s.goroutines.Go(func() { f.failAgent(i, own, d) })
 			time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
 		}
 	}},
@@ -70,7 +71,8 @@
 	{"home killed", func(f *randomFaults, rng *rand.Rand, d time.Duration) { f.restartEntry(f.home(rng), d, false) }},
 	{"entry killed, then its home fails", func(f *randomFaults, rng *rand.Rand, d time.Duration) {
 		home := f.home(rng)
-		f.s.goroutines.Go(func() { f.restartEntry((home+1+rng.IntN(fleetEntries-1))%fleetEntries, d, false) })
+		entry := (home + 1 + rng.IntN(fleetEntries-1)) % fleetEntries
+		f.s.goroutines.Go(func() { f.restartEntry(entry, d, false) })
 		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
 		f.failEntry(home, rng, d)
 	}},
