Ignore heartbeats of other writers after a restart of the worker

What callers could see: a worker that gets no tasks for 5 s or more after a restart.

Cause: once a poll has shown another incarnation, its description is awaited. A heartbeat of another writer that names no start time, or no capacity, was taken for it, and starts then named the wrong worker.

Evidence: TestForeignHeartbeatDescribesARestartedWorker fails before the change.

Change: after a restart only a heartbeat that names the start time describes the worker; one without a capacity never does.

--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -20,6 +20,9 @@
 		return false
 	}
 	if t.Born == 0 {
+		if !g.hasTarget && g.target.Born != 0 {
+			return false // it does not tell which incarnation it describes
+		}
 		t.Born = g.target.Born
 	}
 	switch {
@@ -29,7 +32,7 @@
 		g.announced, g.settled = t, false // until a poll shows what runs
 		g.raiseToken()
 		return true
-	case g.hasTarget && t.Capacity == work.Room{}:
+	case t.Capacity == work.Room{}:
 		return false // incomplete
 	case g.hasTarget && t.ID != g.target.ID && now.Sub(g.describedAt) <= descriptionMaxAge:
 		return false // of another worker
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -25,3 +25,18 @@
 		t.Errorf("orders %+v, want a start for the worker as it described itself", orders)
 	}
 }
+
+// TestForeignHeartbeatDescribesARestartedWorker guards against a worker that gets no tasks after a
+// restart, as another writer's heartbeat came before its own.
+func TestForeignHeartbeatDescribesARestartedWorker(t *testing.T) {
+	for _, capacity := range []work.Room{{}, {CPU: 5}} {
+		d := newDriver(t)
+		d.born, d.clock = 8, time.Second
+		d.answerPoll(0)
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "foreign", Service: "s", Capacity: capacity}, 0)
+		d.sendHeartbeat(false)
+		if target, ok := d.g.Target(); !ok || target.ID != "w" {
+			t.Errorf("target %+v, known %t, after a heartbeat of the worker", target, ok)
+		}
+	}
+}
