Show three double runs of jobs that are submitted again early

Callers see a task run twice at the same time if they submit a job again sooner than 1.3 s after they lost it. The tests play callers that are back after 0 to 3 s at each entry. Nothing of the product changes.

Cause: a home takes a job for new if no living home remembers it. Three paths lead there: a takeover is rejected and its wait for seals is dropped, a stopping home withdraws a job that its successor does not know, and entry and home are killed together.

The tests are skipped without -red and listed as 31 to 33.

--- /dev/null
+++ b/failure/fleet_return_test.go
@@ -0,0 +1,164 @@
+package failure
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"masticbay/platform/standin"
+	"masticbay/work"
+)
+
+// returnDelays is how long callers wait before they submit a job again.
+var returnDelays = []time.Duration{0, 80 * time.Millisecond, 500 * time.Millisecond, retransmitDelay, 3 * time.Second}
+
+// returnLimit is how long a caller that is back goes on submitting. Faults are over before.
+const returnLimit = 6 * time.Second
+
+// forReturns runs f for callers that are back after each delay at each entry, counted from the home.
+func forReturns(t *testing.T, name string, f func(s *fleet, home, entry int, delay time.Duration)) {
+	for _, delay := range returnDelays {
+		for entry := range fleetEntries {
+			t.Run(fmt.Sprintf("%s, back after %v at entry %d", name, delay, entry), func(t *testing.T) {
+				runWithFleet(t, func(_ *testing.T, s *fleet) {
+					home := s.home()
+					f(s, home, home+entry, delay)
+					s.describeRuns(lateJob + ".0.0.0")
+				})
+			})
+		}
+	}
+}
+
+// submitWithin submits lateJob with a deadline after left, and returns the answer's status; 0 if none.
+func (s *fleet) submitWithin(ctx context.Context, entry int, left time.Duration) (status int) {
+	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial("caller"), DisableKeepAlives: true}}, Timeout: left}
+	step := work.Step{Count: 2, Room: work.Room{CPU: taskCPU}, Estimate: lateJobEstimate}
+	reply, err := caller.Submit(ctx, s.frontAddress(entry), longQueue.Name, lateJob, step)
+	if err != nil {
+		s.t.Logf("%s: no answer: %v", time.Now().Format("05.000"), err)
+		return 0
+	}
+	s.t.Logf("%s: answer %d %s", time.Now().Format("05.000"), reply.Status, reply.State)
+	return reply.Status
+}
+
+// comeBack submits lateJob after a delay, and at the next entry after each attempt that ran nothing. It
+// checks that the job runs then.
+func (s *fleet) comeBack(entry int, delay time.Duration) {
+	s.t.Helper()
+	time.Sleep(delay)
+	again := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, returnLimit)
+	defer cancel()
+	for ; ctx.Err() == nil; entry++ {
+		if s.submitWithin(ctx, entry, 8*time.Second) == http.StatusOK {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(s.lateJobAgents()) == 0 && !standin.RanAfter(again, lateJob, s.workers[:]...) {
+		s.t.Error("the job does not run for its caller")
+	}
+}
+
+// loseLateJob injects a fault once lateJob runs.
+func (s *fleet) loseLateJob(inject func()) {
+	time.AfterFunc(100*time.Millisecond, func() {
+		if len(s.lateJobAgents()) == 0 {
+			s.t.Error("the job does not run")
+		}
+		inject()
+	})
+}
+
+// TestRejectedTakeoverOverlapsResubmission guards against a double run: the next home of a job rejects
+// it while the runs of the lost home go on, and takes the job for new when its caller is back.
+func TestRejectedTakeoverOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 31")
+	}
+	for _, lost := range []struct {
+		name   string
+		inject func(s *fleet, home int)
+		heal   func(s *fleet, home int)
+	}{
+		{"home killed", (*fleet).killEntry, (*fleet).startEntry},
+		{"home cut off from the other entries", func(s *fleet, home int) { s.cutHomeFromEntries(home, 4*time.Second) }, func(*fleet, int) {}},
+	} {
+		forReturns(t, lost.name, func(s *fleet, home, entry int, delay time.Duration) {
+			s.loseLateJob(func() {
+				s.leaveStopsUnanswered()
+				lost.inject(s, home)
+			})
+			if status := s.submitWithin(s.ctx, home+1, 900*time.Millisecond); status != http.StatusGatewayTimeout {
+				s.t.Errorf("the takeover was answered with %d, want %d", status, http.StatusGatewayTimeout)
+			}
+			s.comeBack(entry, delay)
+			lost.heal(s, home)
+		})
+	}
+}
+
+// TestWithdrawnJobOverlapsResubmission guards against a double run: a job is submitted at an entry that
+// follows another home, while its former home, which stops, has not ended the runs that it withdrew.
+func TestWithdrawnJobOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 32")
+	}
+	const leaves = 400 * time.Millisecond
+	for _, stops := range []time.Duration{-20 * time.Millisecond, -5 * time.Millisecond, 5 * time.Millisecond, 40 * time.Millisecond} {
+		for _, late := range []time.Duration{120 * time.Millisecond, 600 * time.Millisecond} {
+			name := fmt.Sprintf("home stops %v after the caller leaves, runs end %v late", stops, late)
+			forReturns(t, name, func(s *fleet, home, entry int, delay time.Duration) {
+				for _, w := range s.workers {
+					w.SetFaults(standin.WorkerFaults{StopsUnanswered: true, ExecuteAfter: late})
+				}
+				var stopped sync.WaitGroup
+				stopped.Go(func() {
+					time.Sleep(leaves + stops)
+					s.stopEntry(home)
+				})
+				ctx, cancel := context.WithTimeout(s.ctx, leaves)
+				defer cancel()
+				s.loseLateJob(func() {})
+				s.submitWithin(ctx, home+1, 8*time.Second)
+				s.comeBack(entry, delay)
+				stopped.Wait()
+			})
+		}
+	}
+}
+
+// TestLossOfEntryAndHomeOverlapsResubmission guards against a double run: the entry of a job and its home
+// are lost together, and its caller is back before its runs have ended.
+func TestLossOfEntryAndHomeOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 33")
+	}
+	const downtime = 50 * time.Millisecond
+	for _, lost := range []struct {
+		name string
+		n    int // number of entries, from the home on
+	}{{"home", 1}, {"entry and home", 2}, {"all entries", fleetEntries}} {
+		for _, stops := range []string{"in time", "late"} {
+			name := fmt.Sprintf("%s killed, stops %s", lost.name, stops)
+			forReturns(t, name, func(s *fleet, home, entry int, delay time.Duration) {
+				s.loseLateJob(func() {
+					if stops == "late" {
+						s.leaveStopsUnanswered()
+					}
+					for i := range lost.n {
+						s.killEntry((home + i) % fleetEntries)
+						time.AfterFunc(downtime, func() { s.startEntry((home + i) % fleetEntries) })
+					}
+				})
+				s.submitWithin(s.ctx, home+min(lost.n-1, 1), 8*time.Second)
+				s.comeBack(entry, delay)
+			})
+		}
+	}
+}
