Play random faults with callers that are back early

Callers of TestFleetUnderRandomFaults submit a job again after 0 s, up to 0.5 s or up to 3 s, a third each, where they always stayed away for 1.3 s. What callers see does not change. The variant "callers back early" is left out without -red, as the landed code breaks under it (KNOWN-RED 34).

Cause: a fixed delay of 1.3 s outlasts the leases of lost runs, so the random plays could not meet a caller who is back before.

--- a/failure/fleet_random_test.go
+++ b/failure/fleet_random_test.go
@@ -35,11 +35,12 @@
 // Variants that the names of faults to leave out may name as well.
 const (
 	unseenCallers       = "callers leave unseen"
+	earlyReturns        = "callers back early"
 	restartsUnderSameID = "workers return under the same ID"
 )
 
-// knownRedFaults matches what the entries 8 and 27 of KNOWN-RED.txt need.
-const knownRedFaults = unseenCallers + "|" + restartsUnderSameID + "|entry cut off from its callers"
+// knownRedFaults matches what the entries 8, 27 and 34 of KNOWN-RED.txt need.
+const knownRedFaults = unseenCallers + "|" + earlyReturns + "|" + restartsUnderSameID + "|entry cut off from its callers"
 
 // randomDigit is the first digit of the IDs of jobs whose next two digits are their run
 // time in tenths of a second.
@@ -92,7 +93,7 @@
 						kind.inject(f, own, duration)
 					})
 				}
-				c := &randomCallers{s: s, rejectedOnly: make(map[string]bool), leave: !without.MatchString(unseenCallers)}
+				c := &randomCallers{s: s, rejectedOnly: make(map[string]bool), leave: !without.MatchString(unseenCallers), early: !without.MatchString(earlyReturns)}
 				c.load(loadTime, rng)
 				parts.Wait()
 				c.check()
@@ -152,6 +153,7 @@
 type randomCallers struct {
 	s     *fleet
 	leave bool // some callers leave without their entry seeing it
+	early bool // callers submit again after random delays
 
 	mu           sync.Mutex // guards what follows
 	rejectedOnly map[string]bool
@@ -200,13 +202,22 @@
 		case err != nil || reply.Status != http.StatusServiceUnavailable:
 			onlyRejected = false
 		}
-		time.Sleep(retransmitDelay)
+		time.Sleep(c.delay(rng))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rejectedOnly[id] = onlyRejected
 }
 
+// delay returns how long a caller waits before it submits its job again.
+func (c *randomCallers) delay(rng *rand.Rand) time.Duration {
+	if !c.early {
+		return retransmitDelay
+	}
+	longest := []time.Duration{0, 500 * time.Millisecond, 3 * time.Second}[rng.IntN(3)]
+	return time.Duration(rng.Float64() * float64(longest))
+}
+
 func (c *randomCallers) check() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
