Show double runs in cells and as a home begins to stop

Callers who left unseen and submit their job again see it run twice at the same time: on a site of several cells, as the job's candidates change, and at the entry that they left, within 40 ms after the home has begun to stop.

Cause: the home that gets the job again is another one, and takes the job for new. Candidates change their order with the load of a home, and as a home comes, stops or is killed; the test picks IDs whose order changes.

--- a/failure/fleet_twice_test.go
+++ b/failure/fleet_twice_test.go
@@ -20,6 +20,11 @@
 
 // submitLateFrom is submitLate for a caller at a host.
 func (s *fleet) submitLateFrom(host string, entry int, patience time.Duration) <-chan struct{} {
+	return s.submitJobFrom(host, entry, lateJob, patience)
+}
+
+// submitJobFrom is submitLateFrom for a job with the given ID, whose first digit decides its run time.
+func (s *fleet) submitJobFrom(host string, entry int, id string, patience time.Duration) <-chan struct{} {
 	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial(host), DisableKeepAlives: true}}, Timeout: 8 * time.Second}
 	step := work.Step{Count: 2, Room: work.Room{CPU: taskCPU}, Estimate: lateJobEstimate}
 	done := make(chan struct{})
@@ -27,7 +32,7 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(s.ctx, patience)
 		defer cancel()
-		if _, err := caller.Submit(ctx, s.frontAddress(entry), longQueue.Name, lateJob, step); err != nil {
+		if _, err := caller.Submit(ctx, s.frontAddress(entry), longQueue.Name, id, step); err != nil {
 			s.t.Logf("the caller got no answer: %v", err)
 		}
 	}()
