Have agents follow one home at a time and list the runs of others

Two entries may act as home at once, or one after the other, and the agents served each of them. So no home could know which runs are left: what an agent said was out of date with the next start of another home.

A home claims its agents now. An agent takes the starts of the home that it follows, and of those that this home names as former homes whose jobs it knows. It follows the home of the higher term, unless that one reaches less than half as many entries as the other, and any home once its own is out of contact. It lists the runs of other homes, and whether that list can not grow. Claims are numbered, since they may overtake one another.

Homes do not claim anything yet, so nothing changes for callers. Tests of the decisions are in claim_test.go.

--- /dev/null
+++ b/worker/claim.go
@@ -0,0 +1,102 @@
+package worker
+
+import (
+	"slices"
+	"time"
+)
+
+// Two entries may act as home at the same time, and neither knows which tasks the other one
+// starts. So an agent follows one home at a time: it takes the starts of that home only, and
+// tells it which runs of others are left. What the home learns stays true, since no other home
+// can start anything here afterwards.
+
+// Claim is a home's request to be the one that an agent follows.
+type Claim struct {
+	Home string
+	Seq  uint64 // rises with each claim of the home's incarnation
+	Term uint64 // of the home; 0 for none
+	// Reach is the number of entries that the home is in contact with, itself included.
+	Reach int
+	// Former are homes that have given their role away. They may go on with their jobs, which the
+	// claiming home knows.
+	Former []string
+	// Shared is set by the homes of a site of several cells, whose agents follow none of them.
+	Shared bool
+}
+
+// outranks reports whether an agent in contact with both homes follows c rather than o: the home
+// of the higher term, unless it reaches less than half as many entries as the other one.
+func (c *Claim) outranks(o *Claim) bool {
+	switch {
+	case 2*c.Reach < o.Reach:
+		return false
+	case c.Reach > 2*o.Reach:
+		return true
+	case c.Term != o.Term:
+		return c.Term > o.Term
+	}
+	return c.Home < o.Home
+}
+
+// Claim applies the claim of a home. It must be recent: an earlier one may have been overruled.
+func (g *Guard) Claim(now time.Time, c Claim) {
+	leader := &g.leader
+	switch {
+	case c.Term == 0:
+		return
+	case c.Shared:
+		if c.Term >= leader.Term {
+			g.leader = Claim{Term: c.Term}
+		}
+		return
+	case c.Home == leader.Home:
+		if c.Seq <= leader.Seq {
+			return
+		}
+	case slices.Contains(c.Former, leader.Home) && c.Term >= leader.Term, g.leaderOutOfContact(now), c.outranks(leader):
+	default:
+		// A home that claims its agents again has begun another term, of which the leader knows nothing.
+		leader.Former = slices.DeleteFunc(slices.Clone(leader.Former), func(home string) bool { return home == c.Home })
+		return
+	}
+	g.leader = c
+}
+
+// leaderOutOfContact reports whether the home that this agent follows can not start anything
+// here without a new contact.
+func (g *Guard) leaderOutOfContact(now time.Time) bool {
+	s, ok := g.homes[g.leader.Home]
+	return !ok || now.Sub(s.lastContact) > g.cfg.EntryContactTimeout
+}
+
+// TakesStartsOf reports whether a home may start tasks here, as this agent follows it, none, or
+// the one to which it has given its role away.
+func (g *Guard) TakesStartsOf(home string) bool {
+	return g.leader.Home == "" || g.leader.Home == home || slices.Contains(g.leader.Former, home)
+}
+
+// Leader returns the home that this agent follows; empty if there is none.
+func (g *Guard) Leader() string { return g.leader.Home }
+
+// ListsAllRuns reports whether RunsOfOthers is complete for a home: no other home can start a run
+// that the home does not know, and the worker has none that this Guard does not know. Where nothing
+// has listened since this Guard began, there is no worker.
+func (g *Guard) ListsAllRuns(home string) bool {
+	return g.leader.Home == home && (g.Settled() || g.noListener && g.lastPoll.IsZero())
+}
+
+// RunsOfOthers returns, by job, the highest number of a run that may be active and that another
+// home has ordered. Stored jobs are left out; see InheritedRuns.
+func (g *Guard) RunsOfOthers(home string) map[string]int {
+	var runs map[string]int
+	for _, r := range g.runs {
+		if r.entry == home || r.start.Stored {
+			continue
+		}
+		if runs == nil {
+			runs = make(map[string]int)
+		}
+		runs[r.start.Run.Task.Job] = max(runs[r.start.Run.Task.Job], r.start.Run.Number)
+	}
+	return runs
+}
--- /dev/null
+++ b/worker/claim_test.go
@@ -0,0 +1,105 @@
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/work"
+	"masticbay/worker"
+)
+
+// claim has a home that is in contact claim the agent.
+func (d *driver) claim(c worker.Claim) {
+	d.g.RecordContact(d.now, c.Home, d.now)
+	d.g.Claim(d.now, c)
+}
+
+func (d *driver) wantLeader(want string) {
+	d.t.Helper()
+	if got := d.g.Leader(); got != want {
+		d.t.Errorf("the agent follows %q, want %q", got, want)
+	}
+}
+
+func TestAgentFollowsTheHomeThatOutranksTheOther(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second worker.Claim
+		want          string
+	}{
+		{"higher term", worker.Claim{Home: "e1", Term: 3, Reach: 4}, worker.Claim{Home: "e2", Term: 4, Reach: 3}, "e2"},
+		{"lower term", worker.Claim{Home: "e1", Term: 3, Reach: 4}, worker.Claim{Home: "e2", Term: 2, Reach: 4}, "e1"},
+		{"same term", worker.Claim{Home: "e2", Term: 3, Reach: 2}, worker.Claim{Home: "e1", Term: 3, Reach: 2}, "e1"},
+		{"higher term of a home without contact to others", worker.Claim{Home: "e1", Term: 3, Reach: 4}, worker.Claim{Home: "e2", Term: 4, Reach: 1}, "e1"},
+		{"lower term, the other home has lost its contacts", worker.Claim{Home: "e1", Term: 4, Reach: 1}, worker.Claim{Home: "e2", Term: 3, Reach: 3}, "e2"},
+		{"former home named, earlier term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 3, Reach: 3, Former: []string{"e1"}}, "e1"},
+		{"no term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2"}, "e1"},
+		{"cells", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 4, Shared: true}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newDriver(t)
+			d.claim(tc.first)
+			d.claim(tc.second)
+			d.wantLeader(tc.want)
+		})
+	}
+}
+
+func TestAgentFollowsAnotherHomeOnceItsOwnIsOutOfContact(t *testing.T) {
+	d := newDriver(t)
+	d.claim(worker.Claim{Home: "e1", Term: 9, Reach: 3})
+	d.advance(cfg.EntryContactTimeout + time.Millisecond)
+	d.claim(worker.Claim{Home: "e2", Term: 1, Reach: 1})
+	d.wantLeader("e2")
+}
+
+// TestStartOfFormerHomeOverlapsRunElsewhere guards against a double run: an agent that follows a home
+// takes a start of another one, of which the home does not know.
+func TestStartOfFormerHomeOverlapsRunElsewhere(t *testing.T) {
+	d := newDriver(t)
+	d.claim(worker.Claim{Home: "e1", Seq: 1, Term: 1, Reach: 2})
+	d.order(start(0, 1, 10))
+	d.claim(worker.Claim{Home: "e2", Seq: 1, Term: 2, Reach: 2})
+	if d.g.ListsAllRuns("e1") || !d.g.ListsAllRuns("e2") || d.g.RunsOfOthers("e2")["j"] != 1 {
+		t.Errorf("runs of others %v, want run 1 of j listed to e2", d.g.RunsOfOthers("e2"))
+	}
+	if n := len(d.order(start(1, 1, 10))); n != 0 {
+		t.Error("a start of the former home was sent")
+	}
+	if e := d.lastEvent(work.Refused); e.Reason != worker.OtherHome {
+		t.Errorf("refused with reason %q", e.Reason)
+	}
+	d.claim(worker.Claim{Home: "e2", Seq: 2, Term: 2, Reach: 2, Former: []string{"e1"}})
+	if n := len(d.order(start(1, 2, 10))); n != 1 {
+		t.Error("a start of the former home was refused, although its jobs are known")
+	}
+	d.claim(worker.Claim{Home: "e1", Seq: 2, Term: 1, Reach: 2})
+	if n := len(d.order(start(2, 1, 10))); n != 0 {
+		t.Error("a start of the former home was sent after it began another term")
+	}
+}
+
+// TestOvertakenClaimNamesAFormerHome guards against a double run: a claim that arrives after a later one
+// lets a former home start tasks again.
+func TestOvertakenClaimNamesAFormerHome(t *testing.T) {
+	d := newDriver(t)
+	d.claim(worker.Claim{Home: "e2", Seq: 2, Term: 2, Reach: 2})
+	d.claim(worker.Claim{Home: "e2", Seq: 1, Term: 2, Reach: 2, Former: []string{"e1"}})
+	if d.g.TakesStartsOf("e1") {
+		t.Error("the agent takes starts of a home that the later claim does not name")
+	}
+}
+
+// TestUnsettledAgentListsNotAllRuns guards against a double run: the worker may have runs that an
+// earlier incarnation of the agent ordered.
+func TestUnsettledAgentListsNotAllRuns(t *testing.T) {
+	d := newRestartedDriver(t)
+	d.claim(worker.Claim{Home: "e1", Term: 1, Reach: 1})
+	if d.g.ListsAllRuns("e1") {
+		t.Error("an agent that has not polled its worker lists all runs")
+	}
+	d.g.PollRefused(d.now)
+	if !d.g.ListsAllRuns("e1") {
+		t.Error("an agent without a worker does not list all runs")
+	}
+}
--- a/worker/leave.go
+++ b/worker/leave.go
@@ -43,7 +43,7 @@
 // from now on. Its runs have not certainly ended, so they lapse with their leases.
 func (g *Guard) PollRefused(now time.Time) {
 	g.PollFailed(now)
-	g.outOfContact = true
+	g.outOfContact, g.noListener = true, true
 }
 
 // LeavesIn returns the least time until a draining worker is removed, if it is known.
--- a/worker/order.go
+++ b/worker/order.go
@@ -47,6 +47,7 @@
 	NoRoom    = "noRoom"
 	SealedJob = "sealed"    // another home has the job
 	Evacuated = "evacuated" // the worker's data centre is evacuated
+	OtherHome = "otherHome" // the agent follows another home
 )
 
 func (g *Guard) refusalReason(now time.Time, entry string, echo time.Time, s *work.Start) string {
@@ -59,6 +60,8 @@
 		return Evacuated
 	case g.startsHeld, !g.hasTarget || g.leaving || g.target.Draining || g.outOfContact || g.token == 0 || !g.settledOnce || !g.renewalPausedAt.IsZero() || g.hasOverdueRun(now):
 		return Unready
+	case !s.Stored && !g.TakesStartsOf(entry):
+		return OtherHome
 	case s.Stored && !g.holdsTenure(now, entry):
 		return Untenured
 	case now.Sub(echo) > g.cfg.OrderMaxAge, echo.After(now):
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -48,7 +48,7 @@
 	}
 	g.updateClock(now, snapshot.Clock)
 	g.takeFirstSnapshot(now, &snapshot)
-	g.outOfContact, g.lastPoll = false, now
+	g.outOfContact, g.noListener, g.lastPoll = false, false, now
 	if g.token <= g.bornToken() {
 		g.raiseToken()
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -120,6 +120,7 @@
 	leavesAt         time.Time // least time when a draining worker is removed; zero if it is not known
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
 	lastPoll         time.Time // last answered poll
+	noListener       bool      // nothing listened at the worker's address at the last poll that it did not answer
 	settled          bool      // the worker has no runs that this Guard did not order
 	settledOnce      bool      // settled was true after a poll whose token fences the orders of earlier incarnations of the agent
 	unsettledSince   time.Time // first poll that showed such runs; zero if the last one showed none
@@ -141,6 +142,7 @@
 	sealRequests     []sealRequest        // not answered yet, in the order of their arrival
 	stopped          []StoppedRun         // not taken yet
 	startedAt        time.Time            // when this Guard got its first message
+	leader           Claim                // of the home that this agent follows
 	holder           string               // entry that holds the tenure
 	tenure           Tenure
 	uncommitted      []uint64  // ends that the worker must retain until they are committed to the ledger
