Place nothing on the strength of an empty memory

A home took each job that it did not know for a job without runs, also just after it had become home, and a job that it had rejected while it waited for seals.

The core has jobs wait, from the beginning of a term, until each agent has listed its runs of other homes and follows this one, and former homes have listed their jobs. An agent that does not answer is awaited until the leases of such runs have expired; jobs that can not wait for it are rejected at once. Jobs with a listed run are sealed at that agent. While an agent follows another home nothing is started, and all agents list their runs again afterwards. Open jobs include withdrawn ones whose runs have not ended.

No home begins a term yet. Tests of the decisions are in earlier_test.go; TestRejectionEndsTheWaitForSeals fails without the change.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,6 +62,9 @@
 	MaxQueued           int           // waiting tasks beyond which new jobs are rejected
 	// ShedLoad turns on the rules for overload; see overload.go.
 	ShedLoad bool
+	// RunsOfOthersEndAfter is the time after which runs that another home has ordered have ended, at
+	// agents that are out of contact with both.
+	RunsOfOthersEndAfter time.Duration
 	// MaxSealingAgents is the number of agents up to which they are asked to seal a job. A
 	// lost home may have had hundreds of jobs, and each agent is asked about each of them.
 	MaxSealingAgents int
@@ -89,7 +92,9 @@
 	racks          []*rack                // that tasks have an affinity to
 	timed          []*job                 // have occurrences that are not due yet
 	withdrawn      []withdrawal           // by stopAt
-	sealing        []*job                 // are not placed before agents have sealed them
+	sealing        []*sealing             // of jobs that are not placed before agents have sealed them
+	earlier        earlierHomes
+	hasTerm        bool // agents have to follow this home
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
 	evacuated      evacuation.Set
@@ -156,24 +161,33 @@
 	return c.queued + len(c.timed), running
 }
 
-// HasOpenJobs reports whether a job is not answered yet, those stored aside, which the next
-// holder of the ledger goes on with.
+// HasJob reports whether a job is not answered yet or has runs, and whether it is not answered.
+func (c *Core) HasJob(id string) (known, isOpen bool) {
+	j, ok := c.jobs[id]
+	return ok, ok && !j.answered
+}
+
+// HasOpenJobs reports whether OpenJobs would return a job.
 func (c *Core) HasOpenJobs() bool {
 	for _, j := range c.jobs {
-		if !j.answered && !j.Stored {
+		if !j.Stored {
 			return true
 		}
 	}
-	return false
+	return len(c.sealing) > 0
 }
 
-// OpenJobs returns, by ID, the jobs that are not answered yet, those stored aside, and above which
-// number the runs of each are numbered.
+// OpenJobs returns, by ID, the jobs that are not answered yet or may have a run, and above which
+// number the runs of each are numbered. Stored jobs are left out, since the next holder of the ledger
+// goes on with them.
 func (c *Core) OpenJobs() map[string]int {
 	open := make(map[string]int)
+	for _, s := range c.sealing {
+		open[s.job] = max(open[s.job], s.RunNumberBase)
+	}
 	for id, j := range c.jobs {
-		if !j.answered && !j.Stored {
-			open[id] = j.runNumberBase
+		if !j.Stored {
+			open[id] = max(open[id], j.runNumberBase)
 		}
 	}
 	return open
@@ -241,8 +255,13 @@
 		j.cutoff = end
 	}
 	c.jobs[w.ID] = j
-	if h != nil {
+	switch earlier := c.sealingOf(w.ID); {
+	case h != nil:
 		c.awaitSeals(now, j, h)
+	case earlier != nil:
+		j.sealing, j.runNumberBase = earlier, earlier.RunNumberBase
+	default:
+		c.awaitRunLists(now, j)
 	}
 	c.unblock(now, j)
 	if reason, retry := c.rejectReason(now, j, c.demandOf(now, w.Queue.Service).capacity, true); reason != "" && (reason != reasonNoWorkers || w.Alternative) {
@@ -273,6 +292,9 @@
 	if !wasWithdrawn {
 		return
 	}
+	if j.sealing == nil {
+		c.awaitRunLists(now, j)
+	}
 	c.enqueue(j)
 	c.placeWaiting(now)
 }
@@ -327,6 +349,7 @@
 	}
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
+	c.expireRunLists(now)
 	c.releaseSealed(now)
 	c.abandonOverdue(now)
 	c.expireSlowdowns(now)
--- /dev/null
+++ b/schedule/earlier.go
@@ -0,0 +1,263 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// A home that begins its term knows no job of the homes before it. A job that is submitted then may be
+// one of theirs: its caller has left, or was left, and is back. So nothing new is placed until those
+// who know have told which runs are left: the agents, each of which then follows this home, and former
+// homes that go on with their jobs. What an agent that does not answer runs has ended once its leases
+// have expired. From then on, each report of an agent lists the runs that other homes have ordered
+// there, and a job with such a run is sealed before it is placed.
+
+// earlierHomes is what a home awaits of the homes before it. The zero value awaits nothing.
+type earlierHomes struct {
+	begunAt time.Time
+	agents  map[string]awaitedAgent // may have runs of other homes
+	homes   map[string]bool         // have not listed their jobs yet; by incarnation
+	silent  int                     // agents that have not answered in time
+}
+
+// awaitedAgent tells for what an agent is awaited.
+type awaitedAgent struct {
+	since time.Time // a report counts if it was asked for since then
+	lists bool      // it has to list its runs; otherwise they are known, and it has to follow this home
+	until time.Time // when the leases of runs of other homes have expired there
+}
+
+// BeginTerm has jobs wait until the given agents have listed their runs, and former homes their jobs
+// (see FormerHomeListed), or until the time until. That includes the jobs of an earlier term of
+// this home, which another home may have got meanwhile.
+func (c *Core) BeginTerm(now time.Time, agents, homes []string, until time.Time) {
+	c.earlier = earlierHomes{begunAt: now, agents: make(map[string]awaitedAgent), homes: make(map[string]bool)}
+	c.hasTerm = true
+	for _, a := range agents {
+		c.earlier.agents[a] = awaitedAgent{since: now, lists: true, until: until}
+	}
+	for _, h := range homes {
+		c.earlier.homes[h] = true
+	}
+	c.addNote(Note{Kind: "termBegins", Reason: "this entry is home now", Values: map[string]float64{"agents": float64(len(agents)), "formerHomes": float64(len(homes))}})
+	c.expireRunLists(now)
+	c.awaitRunListsOfAll(now)
+}
+
+// EndTerm ends the term. Agents need not follow this home any more. If isShared is set, they serve
+// this home and others from now on, and their lists are not awaited.
+func (c *Core) EndTerm(now time.Time, isShared bool) {
+	c.hasTerm = false
+	if isShared {
+		c.earlier = earlierHomes{}
+		c.releaseSealed(now)
+		c.placeWaiting(now)
+	}
+}
+
+// awaitRunListsOfAll has all open jobs wait.
+func (c *Core) awaitRunListsOfAll(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if j := c.jobs[id]; !j.answered && j.sealing == nil {
+			c.awaitRunLists(now, j)
+		}
+	}
+}
+
+// FormerHomeListed records that a former home has listed its jobs, or is lost. If it knew all runs
+// of the homes before it, agents that are out of contact are not awaited any more. The others still
+// have to follow this home, as they may have followed another one since.
+func (c *Core) FormerHomeListed(now time.Time, life string, knewAllRuns bool) {
+	if !c.earlier.homes[life] {
+		return
+	}
+	delete(c.earlier.homes, life)
+	for name, a := range c.earlier.agents {
+		if end := now.Add(c.cfg.SuspectAfter); knewAllRuns && end.Before(a.until) {
+			a.until = end
+			c.earlier.agents[name] = a
+		}
+	}
+	if knewAllRuns {
+		delete(c.earlier.agents, UnknownAgent)
+	}
+	c.expireRunLists(now)
+	c.releaseSealed(now)
+	c.placeWaiting(now)
+}
+
+// UnknownAgent stands for agents whose names are not known in the arguments of BeginTerm. It never
+// lists its runs.
+const UnknownAgent = ""
+
+// awaitFollower has jobs wait until a new agent, or a new incarnation of one, follows this home.
+func (c *Core) awaitFollower(now time.Time, t *target) {
+	if c.hasTerm && !c.earlier.agents[t.agent].lists {
+		c.await(t.agent, awaitedAgent{since: now, until: now.Add(c.cfg.RunsOfOthersEndAfter)})
+	}
+}
+
+func (c *Core) await(agent string, a awaitedAgent) {
+	if c.earlier.agents == nil {
+		c.earlier = earlierHomes{begunAt: a.since, agents: make(map[string]awaitedAgent), homes: make(map[string]bool)}
+	}
+	c.earlier.agents[agent] = a
+}
+
+// awaitReturn has jobs wait while an agent follows another home, which may start any job at the
+// agents that follow it, and then until all agents have listed their runs again.
+func (c *Core) awaitReturn(now time.Time, t *target, isFirst bool) {
+	a := awaitedAgent{since: now, lists: true, until: now.Add(c.cfg.RunsOfOthersEndAfter)}
+	c.await(t.agent, a)
+	if !isFirst {
+		return
+	}
+	for _, agent := range c.agentNames {
+		c.await(agent, a)
+	}
+	c.awaitRunListsOfAll(now)
+}
+
+// HasRunList reports whether an agent need not list its runs any more.
+func (c *Core) HasRunList(agent string) bool {
+	_, ok := c.earlier.agents[agent]
+	return !ok
+}
+
+// AwaitsFormerHomes reports whether a former home has not listed its jobs yet.
+func (c *Core) AwaitsFormerHomes() bool { return len(c.earlier.homes) > 0 }
+
+// AwaitsRunLists reports whether there may be runs of earlier homes that are not listed.
+func (c *Core) AwaitsRunLists() bool { return len(c.earlier.agents) > 0 || len(c.earlier.homes) > 0 }
+
+// expireRunLists ends the wait for agents when their runs have ended, and notes the end of the whole wait.
+func (c *Core) expireRunLists(now time.Time) {
+	for name, a := range c.earlier.agents {
+		if !now.Before(a.until) {
+			delete(c.earlier.agents, name)
+			c.earlier.silent++
+		}
+	}
+	if c.earlier.begunAt.IsZero() || c.AwaitsRunLists() {
+		return
+	}
+	c.addNote(Note{Kind: "earlierRunsListed", Reason: "new jobs are placed", Values: map[string]float64{"waitedMs": ms(now.Sub(c.earlier.begunAt)), "agentsSilent": float64(c.earlier.silent)}})
+	c.earlier = earlierHomes{}
+}
+
+// awaitsSilentAgent reports whether an agent whose runs are not listed is out of contact.
+func (c *Core) awaitsSilentAgent(now time.Time) bool {
+	if now.Sub(c.earlier.begunAt) <= c.cfg.SuspectAfter {
+		return false
+	}
+	for name := range c.earlier.agents {
+		if c.isSilent(now, name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) isSilent(now time.Time, agent string) bool {
+	t, ok := c.targets[agent]
+	return !ok || now.Sub(t.lastContact) > c.cfg.SuspectAfter
+}
+
+// awaitRunLists keeps a new job from being placed while it may have runs of other homes.
+func (c *Core) awaitRunLists(now time.Time, j *job) {
+	if j.Stored {
+		return // the ledger knows it
+	}
+	s := &sealing{job: j.ID, startedAt: now, asked: make(map[string]bool), isNew: true}
+	s.Complete, s.RunNumberBase, s.RunsEndAt = true, max(j.runNumberBase, c.highestRunOfOthers(j.ID)), now.Add(c.cfg.RunsOfOthersEndAfter)
+	for _, a := range c.agentNames {
+		if _, ok := c.targets[a].runsOfOthers[j.ID]; ok {
+			s.asked[a] = false
+		}
+	}
+	if len(s.asked) > 0 || c.AwaitsRunLists() {
+		c.startSealing(now, j, s)
+	}
+}
+
+// sealedBy returns when the runs that a sealing waits for have ended at the latest.
+func (c *Core) sealedBy(s *sealing) time.Time {
+	if !s.isNew || len(s.asked) > 0 {
+		return s.RunsEndAt
+	}
+	var end time.Time
+	for _, a := range c.earlier.agents {
+		if a.until.After(end) {
+			end = a.until
+		}
+	}
+	return end
+}
+
+// takeRunList records the runs of other homes that an agent lists, and has those of jobs that wait
+// sealed. It reports whether the agent has begun or ceased to take starts, or a wait may have ended.
+func (c *Core) takeRunList(now time.Time, t *target, r *Report) (changed bool) {
+	if r.Overtaken {
+		return false
+	}
+	changed = t.followsOther != r.FollowsOther
+	if r.FollowsOther && c.hasTerm {
+		c.awaitReturn(now, t, !t.followsOther)
+	}
+	t.followsOther, t.runsOfOthers = r.FollowsOther, r.RunsOfOthers
+	for _, s := range c.sealing {
+		if n, ok := t.runsOfOthers[s.job]; ok {
+			c.sealListed(s, t.agent, n)
+		}
+	}
+	if a, ok := c.earlier.agents[t.agent]; ok && (r.AskedAt.IsZero() || !r.AskedAt.Before(a.since)) && (r.ListsAllRuns || r.Follows && !a.lists) {
+		delete(c.earlier.agents, t.agent)
+		c.expireRunLists(now)
+		c.releaseSealed(now)
+		return true
+	}
+	return changed
+}
+
+// sealListed has an agent seal a job of which it lists a run of another home.
+func (c *Core) sealListed(s *sealing, agent string, n int) {
+	if n > s.RunNumberBase {
+		s.RunNumberBase = n
+		for a := range s.asked {
+			s.asked[a] = false
+		}
+		if !s.isNew {
+			c.requireSeal(s)
+		}
+		if j, ok := c.jobs[s.job]; ok && j.sealing == s {
+			j.runNumberBase = n
+		}
+	}
+	if _, pending := s.asked[agent]; !pending {
+		s.asked[agent] = false
+	}
+}
+
+// highestRunOfOthers returns the highest number of a run of a job that another home has ordered, as
+// agents list it; 0 if there is none.
+func (c *Core) highestRunOfOthers(id string) (n int) {
+	for _, t := range c.targets {
+		n = max(n, t.runsOfOthers[id])
+	}
+	return n
+}
+
+// ListsAllRuns reports whether OpenJobs holds all jobs of which this home, or one before it, may have
+// a run.
+func (c *Core) ListsAllRuns() bool {
+	if c.AwaitsRunLists() {
+		return false
+	}
+	for _, t := range c.targets {
+		if len(t.runsOfOthers) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/schedule/earlier_test.go
@@ -0,0 +1,136 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"masticbay/schedule"
+	"masticbay/work"
+)
+
+// list reports that an agent follows this home and runs jobs of others, up to the given run number.
+func (h *harness) list(agent string, runs map[string]int) {
+	h.c.Report(h.now, agent, &schedule.Report{Life: "1", Target: h.agents[agent], Ready: true, Settled: true, RunsOfOthers: runs, Follows: true, ListsAllRuns: true})
+	h.collect()
+}
+
+// followOther reports that an agent follows another home.
+func (h *harness) followOther(agent string) {
+	h.c.Report(h.now, agent, &schedule.Report{Life: "1", Target: h.agents[agent], Ready: true, Settled: true, FollowsOther: true})
+	h.collect()
+}
+
+func (h *harness) beginTerm(homes []string, agents ...string) {
+	h.c.BeginTerm(h.now, agents, homes, h.now.Add(time.Second))
+	h.collect()
+}
+
+func (h *harness) numStarts() (n int) {
+	for _, starts := range h.starts {
+		n += len(starts)
+	}
+	return n
+}
+
+// TestRunThatNoHomeRemembersOverlapsResubmission guards against a double run: the homes and entries that
+// knew of a job are lost, and it is submitted again while an agent runs it.
+func TestRunThatNoHomeRemembersOverlapsResubmission(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.addAgent("b", 1)
+	h.beginTerm(nil, "a", "b")
+	h.submit(job("j", 0, 1, 100*time.Millisecond))
+	h.submit(job("new", 0, 1, 100*time.Millisecond))
+	h.list("a", map[string]int{"j": 1})
+	if n := h.numStarts(); n != 0 {
+		t.Fatalf("%d starts before all agents have listed their runs", n)
+	}
+	h.list("b", nil)
+	if n := h.numStarts(); n != 1 || len(h.seals["a"]) != 1 || len(h.seals["b"]) != 0 {
+		t.Fatalf("%d starts, seals %v; want a start of the job without a run, and the other one sealed at a", n, h.seals)
+	}
+	h.report("a", schedule.Event{Run: work.Run{Task: work.TaskRef{Job: "j"}, Number: 1}, End: work.Sealed})
+	if n := h.numStarts(); n != 2 {
+		t.Errorf("%d starts after the seal, want 2", n)
+	}
+}
+
+func TestSilentAgentDelaysNewJobsUntilItsLeasesExpire(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm(nil, "a", "silent")
+	h.list("a", nil)
+	h.submit(job("j", 0, 1, time.Second))
+	h.submit(job("short", 0, 1, 50*time.Millisecond))
+	h.advance(400 * time.Millisecond)
+	h.wantOutcome("short", work.Rejected)
+	h.wantStarts("a", 0)
+	h.advance(700 * time.Millisecond)
+	h.wantStarts("a", 1)
+}
+
+// TestFormerHomeListsItsJobsFirst guards against a double run: a home begins its term beside one that
+// goes on with its jobs. The word of the former home stands for agents out of contact.
+func TestFormerHomeListsItsJobsFirst(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm([]string{"e1"}, "a", "silent", schedule.UnknownAgent)
+	h.list("a", nil)
+	h.submit(job("j", 0, 1, time.Second))
+	h.wantStarts("a", 0)
+	h.c.FormerHomeListed(h.now, "e1", true)
+	h.advance(cfg.SuspectAfter + 20*time.Millisecond)
+	h.wantStarts("a", 1)
+}
+
+// TestRejectionEndsTheWaitForSeals guards against a double run: a job that is rejected while it
+// waits for seals is submitted again at the same home.
+func TestRejectionEndsTheWaitForSeals(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.takeOver(job("j", 0, 1, 100*time.Millisecond), true, "a", "silent")
+	h.c.Withdraw(h.now, "j")
+	h.submit(job("j", 0, 1, time.Second))
+	h.seal("a", "j")
+	h.wantStarts("a", 0)
+	h.advance(2100 * time.Millisecond)
+	h.wantStarts("a", 1)
+}
+
+// TestHomeThatIsNotFollowedStartsNothing guards against a double run: another home starts jobs at the
+// agents that follow it, and this home starts the same jobs at the others.
+func TestHomeThatIsNotFollowedStartsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.addAgent("b", 1)
+	h.beginTerm(nil, "a", "b")
+	h.list("a", nil)
+	h.list("b", nil)
+	h.followOther("a")
+	h.submit(job("j", 0, 1, time.Second))
+	h.list("b", nil)
+	if n := h.numStarts(); n != 0 {
+		t.Fatalf("%d starts while an agent follows another home, want none", n)
+	}
+	h.list("a", nil)
+	if n := h.numStarts(); n != 1 {
+		t.Errorf("%d starts once all agents follow this home, want 1", n)
+	}
+}
+
+// TestListAskedForBeforeTheWaitCounts guards against a double run: an agent's report was on its way
+// when another agent began to follow another home, as that agent may have, too.
+func TestListAskedForBeforeTheWaitCounts(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm(nil, "a")
+	h.submit(job("j", 0, 1, time.Second))
+	for _, askedAt := range []time.Time{h.now.Add(-time.Millisecond), h.now} {
+		if n := h.numStarts(); n != 0 {
+			t.Fatalf("%d starts, want none before the agent has listed its runs", n)
+		}
+		h.c.Report(h.now, "a", &schedule.Report{Life: "1", Target: h.agents["a"], Ready: true, Settled: true, Follows: true, ListsAllRuns: true, AskedAt: askedAt})
+		h.collect()
+	}
+	h.wantStarts("a", 1)
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -169,7 +169,7 @@
 	if len(t.runs) > 0 {
 		contactTimeout = c.cfg.SuspectAfter
 	}
-	return t.ready && !t.excluded && !t.Draining && !c.isEvacuated(t) && now.Sub(t.lastContact) <= contactTimeout
+	return t.ready && !t.excluded && !t.followsOther && !t.Draining && !c.isEvacuated(t) && now.Sub(t.lastContact) <= contactTimeout
 }
 
 // maxFreeCPU returns the largest free CPU capacity of any worker. Under load
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -24,6 +24,17 @@
 	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
 	// Evacuated is set if the agent refuses starts because its data centre is evacuated.
 	Evacuated bool
+	// RunsOfOthers holds, by job, the highest number of a run that another home has ordered, stored
+	// jobs aside. ListsAllRuns is set if no other home can start a run that is not in it.
+	RunsOfOthers map[string]int
+	ListsAllRuns bool
+	// Follows is set if the agent follows this home, and FollowsOther if it refuses starts because it
+	// follows another one.
+	Follows, FollowsOther bool
+	// AskedAt is when the home asked for the report, and Overtaken is set if it has a later one, so that
+	// this one tells only of events. The home sets both.
+	AskedAt   time.Time
+	Overtaken bool
 	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set.
 	LeavesIn   time.Duration
 	KnowsLeave bool
@@ -47,6 +58,7 @@
 	_, others := g.Used(home)
 	return Report{
 		Epoch: g.Epoch(), Evacuated: g.Evacuated(),
+		RunsOfOthers: g.RunsOfOthers(home), ListsAllRuns: g.ListsAllRuns(home), Follows: g.Leader() == home, FollowsOther: !g.TakesStartsOf(home),
 		Target: t, Ready: serves && !g.OutOfContact() && !g.StartsHeld() && !g.RenewalPaused() && !g.LeaseWithheld(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
 		Pace: g.Pace(), Idle: g.StalledRuns(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
@@ -62,8 +74,10 @@
 		c.agentNames = append(c.agentNames, agent)
 		slices.Sort(c.agentNames)
 		c.requireSeals(agent)
+		c.awaitFollower(now, t)
 	}
 	if t.life != r.Life {
+		c.awaitFollower(now, t)
 		if !r.Settled {
 			t.ready = false
 			return // runs of its previous incarnation may not have ended yet
@@ -79,7 +93,8 @@
 		c.recordIncarnation(now, t, &r.Target)
 		t.updateSlowness()
 	}
-	changed := r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
+	changed := c.takeRunList(now, t, r)
+	changed = changed || r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
 	moved := !slices.Equal(t.Labels, r.Target.Labels)
 	t.Target, t.ready, t.usedByOthers, t.saysEvacuated, t.lastContact = r.Target, r.Ready, r.Others, r.Evacuated, now
 	if moved {
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -14,14 +14,16 @@
 	agent          string
 	life           string // incarnation of the agent
 	lastContact    time.Time
-	ready          bool      // the agent takes starts
-	excluded       bool      // it belongs to another home
-	saysEvacuated  bool      // the agent refuses starts because its data centre is evacuated
-	used           work.Room // by runs that this home placed
-	usedByOthers   work.Room // by runs of other entries, as reported
-	nearCPU        int       // part of used.CPU: runs with an affinity to the worker's rack
-	freed          float64   // CPU that ends of runs are expected to free per ms
-	rack           *rack     // nil if no task has an affinity to one of the labels
+	ready          bool           // the agent takes starts
+	excluded       bool           // it belongs to another home
+	saysEvacuated  bool           // the agent refuses starts because its data centre is evacuated
+	followsOther   bool           // the agent refuses starts because it follows another home
+	runsOfOthers   map[string]int // by job: highest number of a run that another home has ordered
+	used           work.Room      // by runs that this home placed
+	usedByOthers   work.Room      // by runs of other entries, as reported
+	nearCPU        int            // part of used.CPU: runs with an affinity to the worker's rack
+	freed          float64        // CPU that ends of runs are expected to free per ms
+	rack           *rack          // nil if no task has an affinity to one of the labels
 	runs           map[work.TaskRef]work.Run
 	planned        int        // tasks of the gang that is being placed
 	lastSeq        uint64     // of the last event received
