Begin a term with the word of agents and former homes

Cause: what no living home remembers counted as a job without runs. A home that takes over rejected a job and forgot the seals; it served new jobs before it had asked the former home, which did not list withdrawn jobs whose runs go on; and nobody asked the agents when entry and home were lost together.

Change: a home that becomes the only one of the site begins a term. It asks the former homes in contact for their open jobs, which take no unlisted job from then on, and claims its agents, which list the runs of others. A former home that has the same jobs releases them before its starts are allowed again. The rule applies at every change of home and on nobody's memory, so it does not matter how long a caller stays away.

The entries 31 to 34 of KNOWN-RED.txt and the single home of 27 are taken out; sites of several cells remain there.

--- a/failure/fleet_random_test.go
+++ b/failure/fleet_random_test.go
@@ -39,8 +39,8 @@
 	restartsUnderSameID = "workers return under the same ID"
 )
 
-// knownRedFaults matches what the entries 8, 27 and 34 of KNOWN-RED.txt need.
-const knownRedFaults = unseenCallers + "|" + earlyReturns + "|" + restartsUnderSameID + "|entry cut off from its callers"
+// knownRedFaults matches what the entry 8 of KNOWN-RED.txt needs.
+const knownRedFaults = restartsUnderSameID
 
 // randomDigit is the first digit of the IDs of jobs whose next two digits are their run
 // time in tenths of a second.
--- a/failure/fleet_resubmit_test.go
+++ b/failure/fleet_resubmit_test.go
@@ -34,9 +34,6 @@
 
 // TestTwoHomesRunAJobThatIsSubmittedAgain is the same while two homes can not reach one another.
 func TestTwoHomesRunAJobThatIsSubmittedAgain(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 27")
-	}
 	testUnseenCaller(t, "entries refuse the home", 0, func(s *fleet, home int) { s.refuseHome(home, 2*time.Second) })
 	testUnseenCaller(t, "home cut off from the other entries", 0, func(s *fleet, home int) { s.cutHomeFromEntries(home, 2*time.Second) })
 }
--- a/failure/fleet_return_cells_test.go
+++ b/failure/fleet_return_cells_test.go
@@ -136,9 +136,6 @@
 // TestTwoHomesRunAJobThatIsSubmittedAgainAsOneStops is TestTwoHomesRunAJobThatIsSubmittedAgain for a caller that
 // is back just before or after its job's home has begun to stop.
 func TestTwoHomesRunAJobThatIsSubmittedAgainAsOneStops(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 27")
-	}
 	for _, after := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond} {
 		for entry := range fleetEntries {
 			t.Run(fmt.Sprintf("back %v after, at entry %d", after, entry), func(t *testing.T) {
--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -78,9 +78,6 @@
 // TestRejectedTakeoverOverlapsResubmission guards against a double run: the next home of a job rejects
 // it while the runs of the lost home go on, and takes the job for new when its caller is back.
 func TestRejectedTakeoverOverlapsResubmission(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 31")
-	}
 	for _, lost := range []struct {
 		name   string
 		inject func(s *fleet, home int)
@@ -106,9 +103,6 @@
 // TestWithdrawnJobOverlapsResubmission guards against a double run: a job is submitted at an entry that
 // follows another home, while its former home, which stops, has not ended the runs that it withdrew.
 func TestWithdrawnJobOverlapsResubmission(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 32")
-	}
 	const leaves = 400 * time.Millisecond
 	for _, stops := range []time.Duration{-20 * time.Millisecond, -5 * time.Millisecond, 5 * time.Millisecond, 40 * time.Millisecond} {
 		for _, late := range []time.Duration{120 * time.Millisecond, 600 * time.Millisecond} {
@@ -136,9 +130,6 @@
 // TestLossOfEntryAndHomeOverlapsResubmission guards against a double run: the entry of a job and its home
 // are lost together, and its caller is back before its runs have ended.
 func TestLossOfEntryAndHomeOverlapsResubmission(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 33")
-	}
 	const downtime = 50 * time.Millisecond
 	for _, lost := range []struct {
 		name string
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -23,6 +23,7 @@
 	wasPaused := a.guard.RenewalPaused()
 	if args.Life == a.life {
 		a.applyTenure(args)
+		a.applyClaim(args)
 		a.takeOrders(args)
 	}
 	if wasPaused && !a.guard.RenewalPaused() {
@@ -62,6 +63,32 @@
 	return len(events) > 0 && events[len(events)-1].Seq > known
 }
 
+// applyClaim applies a home's claim to the guard, unless it may have been in transit for long. The
+// caller holds mu.
+func (a *Agent) applyClaim(args *SyncArgs) {
+	now, c := a.now(), &args.Claim
+	if echo := fromStamp(args.Echo); c.Term == 0 || now.Sub(echo) > orderMaxAge || echo.After(now) {
+		return
+	}
+	before := a.guard.Leader()
+	a.guard.Claim(now, worker.Claim{Home: args.Home, Seq: c.Seq, Term: c.Term, Reach: c.Reach, Former: c.Former, Shared: c.Shared})
+	if after := a.guard.Leader(); after != before {
+		a.log.Info().Str("home", after).Str("before", before).Uint64("term", c.Term).Int("reach", c.Reach).Strs("former", c.Former).
+			Int("runsOfOthers", len(a.guard.RunsOfOthers(after))).Msg("agent follows another home")
+		a.signalEvents() // the former leader learns that its starts are refused
+	}
+	if !c.Listed && !c.Shared {
+		args.Wait = min(args.Wait, listRetryInterval)
+		if a.guard.ListsAllRuns(args.Home) {
+			args.Wait = 0
+		}
+	}
+}
+
+// listRetryInterval is how often a home asks for the list of the runs of others that it needs
+// before it places new jobs.
+const listRetryInterval = 10 * time.Millisecond
+
 // applyTenure applies a home's tenure, the ledger holder's term with its epoch, to the
 // guard. The caller holds mu.
 func (a *Agent) applyTenure(args *SyncArgs) {
--- a/site/entry.go
+++ b/site/entry.go
@@ -83,6 +83,9 @@
 	// fetchingEvacuated is the same for the evacuated data centres.
 	fetchingEvacuated map[string]bool
 	lastHome          string
+	// formerLives holds the homes when this entry was not one of them: by incarnation, the number of
+	// agents that each was in contact with.
+	formerLives map[string]int
 	// lastHomes are the homes of all cells at the last update, by their incarnations.
 	lastHomes          []string
 	sessions           map[string]uint64     // by address of a home; see RunArgs
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -146,6 +146,7 @@
 	previous := e.lastHome
 	e.lastHome = home.Life
 	homes := lives(e.roster.Homes(now))
+	e.recordHomes(e.roster.Homes(now))
 	homesChanged := !slices.Equal(homes, e.lastHomes)
 	e.lastHomes = homes
 	e.mu.Unlock()
--- a/site/home.go
+++ b/site/home.go
@@ -28,7 +28,7 @@
 	mu             sync.Mutex // guards what follows
 	closed         bool
 	lastLinkUpdate time.Time // when updateLinks last ran
-	wasHome        bool      // this entry was home of a cell at lastLinkUpdate
+	wasHome        bool      // this entry was home of a cell at the last update of its role
 	siteAgents     int       // number of all agents of the site at lastLinkUpdate
 	core           *schedule.Core
 	startRate      roster.StartRate
@@ -39,6 +39,11 @@
 	withdrawnCalls map[entryCall]time.Time
 	formerJobs     map[string]formerJob // by ID
 	formerAskedAt  map[string]time.Time // by address of a former home
+	formerHomes    map[string]bool      // by incarnation of a former home: its open jobs are known
+	wasAlone       bool                 // it was the only home of the site then
+	term           uint64               // in which it was the only home last
+	lastClaim      uint64               // number of the last claim to any agent
+	hasListed      bool                 // the open jobs were listed to a later home
 	// lastOrder is the number of the last order to any agent. It never restarts while
 	// the process runs, although links are replaced: agents take no number twice.
 	lastOrder uint64
@@ -129,6 +134,11 @@
 		h.mu.Unlock()
 		return out, true
 	}
+	known, _ := h.core.HasJob(args.Job.ID)
+	if !h.updateRole() && (args.Home == "" || h.hasListed && !known) {
+		h.mu.Unlock()
+		return out, true
+	}
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
 	args.FirstRun = max(args.FirstRun, h.claimFormer(args.Job.ID))
 	if args.FirstRun > 0 {
@@ -223,13 +233,14 @@
 
 // runOnce does one round of duty and reports whether tasks wait or run.
 func (h *home) runOnce() bool {
-	isHome := h.e.placesTasks()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
 		return false
 	}
 	now := h.e.now()
+	wasHome := h.wasHome
+	isHome := h.updateRole()
 	h.dropOutOfContact(now)
 	h.forgetWithdrawn(now)
 	h.forgetFormer(now)
@@ -240,11 +251,8 @@
 	h.e.metrics.running.Update(float64(running))
 	h.e.metrics.ejected.Update(float64(h.core.Ejected()))
 	h.e.metrics.pairs.Update(float64(h.core.NumInterferingPairs()))
-	if now.Sub(h.lastLinkUpdate) >= linkUpdateInterval || isHome != h.wasHome {
-		if isHome && !h.wasHome {
-			h.importPairs(now)
-		}
-		h.lastLinkUpdate, h.wasHome = now, isHome
+	if now.Sub(h.lastLinkUpdate) >= linkUpdateInterval || isHome != wasHome {
+		h.lastLinkUpdate = now
 		h.updateLinks(now, isHome, running)
 	}
 	h.publishStatus(now)
--- a/site/home_claim_test.go
+++ b/site/home_claim_test.go
@@ -16,7 +16,7 @@
 		h.e.metrics.all.Close()
 	})
 	h.e.peers, h.e.ending = make(map[string]*peer), t.Context()
-	h.setFormerJobs("e9", map[string]int{"j": runNumberStride})
+	h.setFormerJobs(roster.Member{Address: "e9"}, map[string]int{"j": runNumberStride})
 	return h
 }
 
--- a/site/home_former.go
+++ b/site/home_former.go
@@ -7,6 +7,7 @@
 
 	"masticbay/roster"
 	"masticbay/wire"
+	"masticbay/work"
 )
 
 // A home that gives its role away, as it leaves or is overloaded, goes on with its jobs. The
@@ -20,6 +21,11 @@
 // OpenJobsReply lists jobs that are not stored and not answered.
 type OpenJobsReply struct {
 	Jobs map[string]int // by ID: above which number the runs are numbered
+	// Places is set if the receiver is home; it lists nothing then.
+	Places bool
+	// Term is that in which the receiver was home last, if all runs of the homes before it are among
+	// those of Jobs; else 0.
+	Term uint64
 }
 
 // ReleaseArgs withdraws a job for all that wait for it, as its caller has submitted it again
@@ -36,7 +42,14 @@
 	h := m.e.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if reply.Places = h.updateRole(); reply.Places {
+		return nil
+	}
+	h.hasListed = true // from now on, it takes no job that is not listed
 	reply.Jobs = h.core.OpenJobs()
+	if h.core.ListsAllRuns() {
+		reply.Term = h.term
+	}
 	return nil
 }
 
@@ -89,19 +102,34 @@
 	return true
 }
 
-func (e *Entry) fetchOpenJobs(m roster.Member) {
+// fetchOpenJobs asks a former home for its open jobs, and reports whether it has listed them and for
+// the homes before which term they stand as well.
+func (e *Entry) fetchOpenJobs(m roster.Member) (listed bool, term uint64) {
 	ctx, cancel := context.WithTimeout(e.ending, greetAnswerTimeout)
 	defer cancel()
 	rep, err := wire.Call[OpenJobsArgs, OpenJobsReply](ctx, e.peer(m.Address), entryOpenJobs, &OpenJobsArgs{})
 	if err != nil {
 		e.log.Info().Err(err).Str("entry", m.Name).Msg("open jobs of a former home not known")
-		return
+		return false, 0
+	}
+	if rep.Places {
+		e.log.Info().Str("entry", m.Name).Msg("former home has not given its role away yet")
+		return false, 0
 	}
 	e.log.Info().Str("entry", m.Name).Int("jobs", len(rep.Jobs)).Msg("open jobs of a former home")
-	e.home.setFormerJobs(m.Address, rep.Jobs)
+	for _, id := range e.home.setFormerJobs(m, rep.Jobs) {
+		if err := e.releaseOnce(m.Address, id); err != nil {
+			e.requestLog.Info().Err(err).Str("job", id).Str("from", m.Address).Msg("job not released")
+			return false, 0
+		}
+	}
+	e.home.allowFormerHome(m.Life)
+	return true, rep.Term
 }
 
-func (h *home) setFormerJobs(address string, jobs map[string]int) {
+// setFormerJobs records the jobs of a former home, and seals those that are open here as well. It
+// returns those that this home has.
+func (h *home) setFormerJobs(m roster.Member, jobs map[string]int) (both []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.formerJobs == nil {
@@ -109,8 +137,27 @@
 	}
 	until := h.e.now().Add(peerRetention)
 	for id, base := range jobs {
-		h.formerJobs[id] = formerJob{address, base, until}
+		h.formerJobs[id] = formerJob{m.Address, base, until}
+		known, isOpen := h.core.HasJob(id)
+		if known {
+			both = append(both, id)
+		}
+		if isOpen {
+			h.takeOver(&RunArgs{Job: work.Job{ID: id}, FirstRun: h.claimFormer(id)})
+		}
+	}
+	h.deliverDecisions()
+	return both
+}
+
+// allowFormerHome lets a former home go on with its jobs.
+func (h *home) allowFormerHome(life string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.formerHomes == nil {
+		h.formerHomes = make(map[string]bool)
 	}
+	h.formerHomes[life] = true
 }
 
 // claimFormer returns the number up to which a former home may have numbered the runs of a job
@@ -128,11 +175,21 @@
 
 // releaseAt has a former home withdraw a job, which ends its runs sooner than the seals do.
 func (e *Entry) releaseAt(address, id string) {
+	for n := 0; n < maxWithdrawals && e.ending.Err() == nil; n++ {
+		err := e.releaseOnce(address, id)
+		if err == nil {
+			return
+		}
+		e.requestLog.Info().Err(err).Str("job", id).Str("from", address).Int("attempt", n+1).Msg("job not released")
+		sleep(e.ending, withdrawalInterval)
+	}
+}
+
+func (e *Entry) releaseOnce(address, id string) error {
 	ctx, cancel := context.WithTimeout(e.ending, greetAnswerTimeout)
 	defer cancel()
-	if _, err := wire.Call[ReleaseArgs, ReleaseReply](ctx, e.peer(address), entryRelease, &ReleaseArgs{Job: id}); err != nil {
-		e.requestLog.Info().Err(err).Str("job", id).Str("from", address).Msg("job not released")
-	}
+	_, err := wire.Call[ReleaseArgs, ReleaseReply](ctx, e.peer(address), entryRelease, &ReleaseArgs{Job: id})
+	return err
 }
 
 // forgetFormer forgets the jobs of former homes that must have ended. The caller holds mu.
--- /dev/null
+++ b/site/home_term.go
@@ -0,0 +1,153 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"masticbay/roster"
+	"masticbay/schedule"
+)
+
+// This file begins and ends the terms of a home, in which it places tasks. The home claims that all
+// agents follow it, and places new jobs once it knows which runs of earlier homes are left; see
+// schedule.Core.BeginTerm. The homes of a site of several cells share their agents, and claim nothing.
+
+// updateRole begins or ends a term if this entry has become home of a cell or is not home any more.
+// It reports whether this entry is home. The caller holds mu.
+func (h *home) updateRole() bool {
+	homes, now := h.e.homes(), h.e.now()
+	isHome := slices.ContainsFunc(homes, func(m roster.Member) bool { return m.Life == h.e.life })
+	isAlone := isHome && len(homes) == 1
+	if isHome && !h.wasHome {
+		h.importPairs(now)
+		h.hasListed = false
+	}
+	wasAlone := h.wasAlone
+	h.wasHome, h.wasAlone = isHome, isAlone
+	switch {
+	case isAlone && !wasAlone:
+		h.beginTerm(now, homes[0].Term)
+	case !isAlone && wasAlone:
+		h.core.EndTerm(now, isHome)
+		h.deliverDecisions()
+	}
+	return isHome
+}
+
+// beginTerm begins a term in which this entry is the only home. The caller holds mu.
+func (h *home) beginTerm(now time.Time, term uint64) {
+	clear(h.formerHomes)
+	h.term = term
+	former, agentsOfFormer := h.e.formerHomes(now)
+	lives := make([]string, len(former))
+	for i, m := range former {
+		lives[i] = m.Life
+		go h.awaitFormerHome(m)
+	}
+	agents, complete, _ := h.e.agentsSeen(now, agentsOfFormer)
+	if agentsOfFormer > 0 && !complete && !h.e.knowsAgentsOfOthers(now, agentsOfFormer) {
+		agents = append(agents, schedule.UnknownAgent)
+	}
+	h.core.BeginTerm(now, agents, lives, now.Add(formerRunsEndAfter))
+	h.lastLinkUpdate = time.Time{} // the agents are asked at once
+	h.notify()
+}
+
+// knowsAgentsOfOthers reports whether this entry is in contact with as many agents as a lost home was
+// and as any other entry is that has been running for a while.
+func (e *Entry) knowsAgentsOfOthers(now time.Time, ofLostHome int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most, isKnown := ofLostHome, false
+	for _, m := range e.roster.InContact(now) {
+		most, isKnown = max(most, m.Agents), isKnown || !m.Young && m.Agents > 0
+	}
+	return isKnown && len(e.agents) >= most
+}
+
+// formerHomes returns the entries in contact that are or were home beside or before this one, and the
+// largest number of agents that a lost home was in contact with.
+func (e *Entry) formerHomes(now time.Time) (former []roster.Member, agents int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range e.roster.InContact(now) {
+		if _, wasHome := e.formerLives[m.Life]; m.Life != e.life && (wasHome || m.Term > 0 || m.Places) {
+			former = append(former, m)
+		}
+	}
+	for _, n := range e.formerLives {
+		agents = max(agents, n)
+	}
+	return former, agents
+}
+
+// claimFor returns the claim that is sent to an agent. The caller holds mu.
+func (h *home) claimFor(agent string) (c claimArgs) {
+	if !h.wasHome || h.core.AwaitsFormerHomes() {
+		return c // a former home goes on with its jobs until it has listed them
+	}
+	h.e.mu.Lock()
+	defer h.e.mu.Unlock()
+	now := h.e.now()
+	homes := h.e.roster.Homes(now)
+	switch {
+	case len(homes) > 1:
+		c.Term, c.Shared = homes[0].Term, true
+		return c
+	case len(homes) == 0 || homes[0].Life != h.e.life:
+		return c
+	}
+	c.Term = homes[0].Term
+	inContact := h.e.roster.InContact(now)
+	h.lastClaim++
+	c.Seq, c.Reach = h.lastClaim, 1+len(inContact)
+	for _, m := range inContact {
+		if h.formerHomes[m.Life] && m.Term == 0 && !m.Places {
+			c.Former = append(c.Former, m.Life)
+		}
+	}
+	c.Listed = h.core.HasRunList(agent)
+	return c
+}
+
+// awaitFormerHome asks a former home for its open jobs until it answers or is out of contact.
+func (h *home) awaitFormerHome(m roster.Member) {
+	for h.e.ending.Err() == nil {
+		listed, term := h.e.fetchOpenJobs(m)
+		if listed || !h.e.isInContact(m) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.core.FormerHomeListed(h.e.now(), m.Life, listed && term > 0 && term+1 == h.term)
+			h.deliverDecisions()
+			return
+		}
+		sleep(h.e.ending, formerRetryInterval)
+	}
+}
+
+// formerRetryInterval is the time between questions to a former home that has not given its role
+// away yet or does not answer.
+const formerRetryInterval = 15 * time.Millisecond
+
+// isInContact reports whether an incarnation of another entry is in contact.
+func (e *Entry) isInContact(m roster.Member) bool {
+	return slices.ContainsFunc(e.entriesInContact(), func(o roster.Member) bool { return o.Life == m.Life })
+}
+
+// recordHomes remembers the homes of the site until there are others, of which this entry may be
+// one. The caller holds mu of the entry.
+func (e *Entry) recordHomes(homes []roster.Member) {
+	if len(homes) == 0 {
+		return
+	}
+	if e.formerLives == nil {
+		e.formerLives = make(map[string]int)
+	}
+	if slices.ContainsFunc(homes, func(m roster.Member) bool { return m.Life == e.life }) {
+		return
+	}
+	clear(e.formerLives)
+	for _, m := range homes {
+		e.formerLives[m.Life] = m.Agents
+	}
+}
--- a/site/link.go
+++ b/site/link.go
@@ -122,6 +122,7 @@
 		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
 	}
 	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
+	args.Claim = l.h.claimFor(l.agent)
 	sentAt := l.h.e.now()
 	l.h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
@@ -186,7 +187,7 @@
 	if stale && len(rep.Report.Events) == 0 {
 		return
 	}
-	rep.Report.Target = l.target
+	rep.Report.Target, rep.Report.AskedAt, rep.Report.Overtaken = l.target, sentAt, stale
 	l.h.core.Report(l.h.e.now(), l.agent, &rep.Report)
 	l.h.deliverDecisions()
 }
--- a/site/messages.go
+++ b/site/messages.go
@@ -48,6 +48,7 @@
 	Acked  uint64        // events up to this number are acknowledged; the agent drops them
 	Known  uint64        // the home has received events up to this number; they do not end the wait
 	Tenure tenureArgs    // the home's tenure of the ledger
+	Claim  claimArgs     // the home's claim to be followed
 	Target uint64        // version of the worker's description that the home has
 	Wait   time.Duration // for events (long poll)
 	// Evacuation is the evacuated data centres, as the home knows them.
@@ -62,6 +63,18 @@
 	Kept   bool          // the agent is asked for the runs that the home may inherit
 }
 
+// claimArgs is a home's claim that the agent follows it.
+type claimArgs struct {
+	Seq    uint64 // rises with each claim of the sender's incarnation
+	Term   uint64 // 0 if the sender is not home
+	Reach  int
+	Former []string
+	Shared bool
+	// Listed is set if the home has the agent's list of the runs of others. Otherwise a reply that holds
+	// it is sent at once.
+	Listed bool
+}
+
 // SyncReply is an agent's report to a home.
 type SyncReply struct {
 	Stamp  time.Duration   // the agent's time
--- a/site/site.go
+++ b/site/site.go
@@ -112,10 +112,13 @@
 	// RunsOfLostHomeEndAfter is the time from the loss of a home until every run of its jobs
 	// has ended, also at an agent that only this home reaches.
 	RunsOfLostHomeEndAfter = withdrawnRunsStopAfter + stopRunsAfter + workerStopTime + leaseEndsAfter + 40*time.Millisecond
-	lostHomeWait           = 1250 * time.Millisecond                                    // for another home
-	sealRetention          = withdrawnRunsStopAfter + orderMaxAge + 80*time.Millisecond // a lost home places no run after it, and callers have not submitted again
-	maxSealingAgents       = 64
-	lostAgentRetention     = 30 * time.Second // agents out of contact for longer have no runs
+	// formerRunsEndAfter is the same for jobs that no entry hands over, whose entry is lost as well
+	// or has withdrawn them.
+	formerRunsEndAfter = withdrawnRunsStopAfter + renewContactAge + leaseEndsAfter + 40*time.Millisecond
+	lostHomeWait       = 1250 * time.Millisecond                                    // for another home
+	sealRetention      = withdrawnRunsStopAfter + orderMaxAge + 80*time.Millisecond // a lost home places no run after it, and callers have not submitted again
+	maxSealingAgents   = 64
+	lostAgentRetention = 30 * time.Second // agents out of contact for longer have no runs
 )
 
 // The times and limits of the ledger of stored jobs.
@@ -164,7 +167,7 @@
 func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
 		SuspectAfter: suspectAfter, SuspectIdleAfter: suspectIdleAfter, RunsLostAfter: runsLostAfter, StoredRunsLostAfter: storedRunsLostAfter, RemoteFactor: n.RemoteFactor, CutoffFactor: 3, Margin: 5 * time.Millisecond,
-		MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents, ColdOverage: n.ColdOverage, ColdSlack: n.ColdSlack,
+		MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents, RunsOfOthersEndAfter: RunsOfLostHomeEndAfter, ColdOverage: n.ColdOverage, ColdSlack: n.ColdSlack,
 	}
 }
 
--- a/site/times_test.go
+++ b/site/times_test.go
@@ -44,6 +44,7 @@
 		{"a caller submits again after its entry, not the home, was lost", entryLost, retransmitDelay},
 		{"a caller submits again after its entry and then the home were lost", withdrawnRunsStopAfter + latency + homeLost, retransmitDelay},
 		{"a home takes over a job, an agent is out of contact with both homes", withdrawnRunsStopAfter + latency + homeLost, RunsOfLostHomeEndAfter},
+		{"a home begins its term, an agent is out of contact with all homes", withdrawnRunsStopAfter + latency + homeLost, formerRunsEndAfter},
 		{"another holder of the ledger goes on without an agent", tenureDuration + agentTickInterval + leaseEnds, previousRunsEndAfter},
 	} {
 		if tc.ends > tc.assume {
