Leave the runs of the home that is followed to that home

What callers saw: 7 of 240 jobs ended as unknown, "another home has the job", while two homes could not reach one another and the agents followed one of them. Cause: the other home, which had withdrawn jobs of these entries, saw new runs of them listed and had the agents seal them; and it named jobs as its own of which it had only seen such runs. A home asks an agent for seals once the agent follows it, and lists as open jobs what it has itself.

TestHomeSealsRunsOfTheHomeThatIsFollowed fails without the change.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -39,6 +39,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"masticbay/ejection"
@@ -95,6 +96,7 @@
 	sealing        []*sealing             // of jobs that are not placed before agents have sealed them
 	earlier        earlierHomes
 	hasTerm        bool // agents have to follow this home
+	termBegunAt    time.Time
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
 	evacuated      evacuation.Set
@@ -174,7 +176,7 @@
 			return true
 		}
 	}
-	return len(c.sealing) > 0
+	return slices.ContainsFunc(c.sealing, func(s *sealing) bool { return !s.isNew })
 }
 
 // OpenJobs returns, by ID, the jobs that are not answered yet or may have a run, and above which
@@ -183,7 +185,9 @@
 func (c *Core) OpenJobs() map[string]int {
 	open := make(map[string]int)
 	for _, s := range c.sealing {
-		open[s.job] = max(open[s.job], s.RunNumberBase)
+		if !s.isNew { // otherwise its agents list the runs that it may have
+			open[s.job] = max(open[s.job], s.RunNumberBase)
+		}
 	}
 	for id, j := range c.jobs {
 		if !j.Stored {
--- a/schedule/earlier_test.go
+++ b/schedule/earlier_test.go
@@ -134,3 +134,21 @@
 	}
 	h.wantStarts("a", 1)
 }
+
+// TestHomeSealsRunsOfTheHomeThatIsFollowed guards against an unknown outcome for the caller of a job that another
+// home runs: a home whose agents follow that one has the job as well, and ends the runs.
+func TestHomeSealsRunsOfTheHomeThatIsFollowed(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm(nil, "a")
+	h.submit(job("j", 0, 1, time.Second))
+	h.c.Report(h.now, "a", &schedule.Report{Life: "1", Target: h.agents["a"], Ready: true, Settled: true, FollowsOther: true, RunsOfOthers: map[string]int{"j": 1001}})
+	h.collect()
+	if n := len(h.seals["a"]); n != 0 {
+		t.Errorf("%d seals, want none", n)
+	}
+	h.list("a", map[string]int{"j": 1001})
+	if n := len(h.seals["a"]); n != 1 {
+		t.Errorf("%d seals once the agent follows this home, want 1", n)
+	}
+}
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -76,8 +76,12 @@
 	c.releaseSealed(now)
 }
 
-// orderSeals asks an agent to seal the jobs for which it was not asked yet.
+// orderSeals asks an agent to seal the jobs for which it was not asked yet. The runs of a home that the
+// agent follows are left to that home.
 func (c *Core) orderSeals(agent string) {
+	if t, ok := c.targets[agent]; ok && t.followsOther {
+		return
+	}
 	for _, s := range c.sealing {
 		if asked, pending := s.asked[agent]; !pending || asked {
 			continue
