Await the agents that others know, and give jobs back after a term

A home that had restarted 0.1 s before placed jobs when the four agents that it knew had listed their runs, while seven others had runs of its previous incarnation. It awaits as many agents as other entries are in contact with now, and those that report soon after the beginning of its term list their runs. Jobs that wait for lists when a term ends are handed to the next home by their entries instead of waiting beside it.

--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -33,7 +33,7 @@
 // this home, which another home may have got meanwhile.
 func (c *Core) BeginTerm(now time.Time, agents, homes []string, until time.Time) {
 	c.earlier = earlierHomes{begunAt: now, agents: make(map[string]awaitedAgent), homes: make(map[string]bool)}
-	c.hasTerm = true
+	c.hasTerm, c.termBegunAt = true, now
 	for _, a := range agents {
 		c.earlier.agents[a] = awaitedAgent{since: now, lists: true, until: until}
 	}
@@ -56,6 +56,18 @@
 	}
 }
 
+// JobsToGiveBack returns the jobs that wait for lists, and of which no task was sent. They can be handed
+// to the next home.
+func (c *Core) JobsToGiveBack() (ids []string) {
+	for id, j := range c.jobs {
+		if !j.answered && !j.wasSent && j.sealing != nil && j.sealing.isNew {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // awaitRunListsOfAll has all open jobs wait.
 func (c *Core) awaitRunListsOfAll(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
@@ -91,7 +103,36 @@
 // lists its runs.
 const UnknownAgent = ""
 
-// awaitFollower has jobs wait until a new agent, or a new incarnation of one, follows this home.
+// AwaitsUnknownAgent reports whether UnknownAgent is awaited.
+func (c *Core) AwaitsUnknownAgent() bool { return !c.HasRunList(UnknownAgent) }
+
+// AgentsKnown records that there are no agents but the given ones, which replace UnknownAgent.
+func (c *Core) AgentsKnown(now time.Time, agents []string) {
+	unknown, ok := c.earlier.agents[UnknownAgent]
+	if !ok {
+		return
+	}
+	delete(c.earlier.agents, UnknownAgent)
+	for _, agent := range agents {
+		if _, ok := c.targets[agent]; !ok {
+			c.earlier.agents[agent] = unknown
+		}
+	}
+	c.expireRunLists(now)
+	c.releaseSealed(now)
+	c.placeWaiting(now)
+}
+
+// awaitNew has jobs wait until an agent that reports for the first time follows this home. Soon after the
+// beginning of the term it may have runs of earlier homes.
+func (c *Core) awaitNew(now time.Time, t *target) {
+	if c.hasTerm && !c.earlier.agents[t.agent].lists {
+		end := now.Add(c.cfg.RunsOfOthersEndAfter)
+		c.await(t.agent, awaitedAgent{since: now, lists: now.Sub(c.termBegunAt) <= c.cfg.RunsOfOthersEndAfter, until: end})
+	}
+}
+
+// awaitFollower has jobs wait until a new incarnation of an agent follows this home.
 func (c *Core) awaitFollower(now time.Time, t *target) {
 	if c.hasTerm && !c.earlier.agents[t.agent].lists {
 		c.await(t.agent, awaitedAgent{since: now, until: now.Add(c.cfg.RunsOfOthersEndAfter)})
@@ -129,7 +170,9 @@
 func (c *Core) AwaitsFormerHomes() bool { return len(c.earlier.homes) > 0 }
 
 // AwaitsRunLists reports whether there may be runs of earlier homes that are not listed.
-func (c *Core) AwaitsRunLists() bool { return len(c.earlier.agents) > 0 || len(c.earlier.homes) > 0 }
+func (c *Core) AwaitsRunLists() bool {
+	return len(c.earlier.agents) > 0 || len(c.earlier.homes) > 0
+}
 
 // expireRunLists ends the wait for agents when their runs have ended, and notes the end of the whole wait.
 func (c *Core) expireRunLists(now time.Time) {
@@ -208,7 +251,7 @@
 	t.followsOther, t.runsOfOthers = r.FollowsOther, r.RunsOfOthers
 	for _, s := range c.sealing {
 		if n, ok := t.runsOfOthers[s.job]; ok {
-			c.sealListed(s, t.agent, n)
+			c.sealListed(now, s, t.agent, n)
 		}
 	}
 	if a, ok := c.earlier.agents[t.agent]; ok && (r.AskedAt.IsZero() || !r.AskedAt.Before(a.since)) && (r.ListsAllRuns || r.Follows && !a.lists) {
@@ -221,7 +264,10 @@
 }
 
 // sealListed has an agent seal a job of which it lists a run of another home.
-func (c *Core) sealListed(s *sealing, agent string, n int) {
+func (c *Core) sealListed(now time.Time, s *sealing, agent string, n int) {
+	if end := now.Add(c.cfg.RunsOfOthersEndAfter); end.After(s.RunsEndAt) {
+		s.RunsEndAt = end // the run has not ended yet
+	}
 	if n > s.RunNumberBase {
 		s.RunNumberBase = n
 		for a := range s.asked {
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -74,7 +74,7 @@
 		c.agentNames = append(c.agentNames, agent)
 		slices.Sort(c.agentNames)
 		c.requireSeals(agent)
-		c.awaitFollower(now, t)
+		c.awaitNew(now, t)
 	}
 	if t.life != r.Life {
 		c.awaitFollower(now, t)
--- a/site/home.go
+++ b/site/home.go
@@ -150,7 +150,7 @@
 	h.mu.Unlock()
 	select {
 	case out = <-w.done:
-		return out, false
+		return out, out.State == movedJob
 	case <-ctx.Done():
 		h.removeWaiters(args.Job.ID, func(o *waiter) bool { return o == w })
 		return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}, false
@@ -241,6 +241,7 @@
 	now := h.e.now()
 	wasHome := h.wasHome
 	isHome := h.updateRole()
+	h.updateAgentsKnown(now)
 	h.dropOutOfContact(now)
 	h.forgetWithdrawn(now)
 	h.forgetFormer(now)
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -6,6 +6,7 @@
 
 	"masticbay/roster"
 	"masticbay/schedule"
+	"masticbay/work"
 )
 
 // This file begins and ends the terms of a home, in which it places tasks. The home claims that all
@@ -28,12 +29,31 @@
 	case isAlone && !wasAlone:
 		h.beginTerm(now, homes[0].Term)
 	case !isAlone && wasAlone:
+		if !isHome {
+			h.giveJobsBack(now)
+		}
 		h.core.EndTerm(now, isHome)
 		h.deliverDecisions()
 	}
 	return isHome
 }
 
+// giveJobsBack has the entries of jobs that wait for lists hand them to the next home. The caller holds
+// mu.
+func (h *home) giveJobsBack(now time.Time) {
+	for _, id := range h.core.JobsToGiveBack() {
+		for _, w := range h.waiters[id] {
+			w.done <- work.Outcome{State: movedJob}
+		}
+		delete(h.waiters, id)
+		h.core.Withdraw(now, id)
+		h.log.Info().Str("job", id).Msg("job given back to its entry")
+	}
+}
+
+// movedJob is the state of a job that a home gives back to its entry. It does not leave the home.
+const movedJob work.State = "moved"
+
 // beginTerm begins a term in which this entry is the only home. The caller holds mu.
 func (h *home) beginTerm(now time.Time, term uint64) {
 	clear(h.formerHomes)
@@ -45,7 +65,7 @@
 		go h.awaitFormerHome(m)
 	}
 	agents, complete, _ := h.e.agentsSeen(now, agentsOfFormer)
-	if agentsOfFormer > 0 && !complete && !h.e.knowsAgentsOfOthers(now, agentsOfFormer) {
+	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); !complete && (len(agents) < most || agentsOfFormer > 0 && !isKnown) {
 		agents = append(agents, schedule.UnknownAgent)
 	}
 	h.core.BeginTerm(now, agents, lives, now.Add(formerRunsEndAfter))
@@ -53,16 +73,29 @@
 	h.notify()
 }
 
-// knowsAgentsOfOthers reports whether this entry is in contact with as many agents as a lost home was
-// and as any other entry is that has been running for a while.
-func (e *Entry) knowsAgentsOfOthers(now time.Time, ofLostHome int) bool {
+// updateAgentsKnown ends the wait for unknown agents once this entry knows as many as others do. The
+// caller holds mu.
+func (h *home) updateAgentsKnown(now time.Time) {
+	if !h.core.AwaitsUnknownAgent() {
+		return
+	}
+	_, agentsOfFormer := h.e.formerHomes(now)
+	agents, _, _ := h.e.agentsSeen(now, 0)
+	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); isKnown && len(agents) >= most {
+		h.core.AgentsKnown(now, agents)
+	}
+}
+
+// agentsOfOthers returns the largest number of agents that a lost home was in contact with, or another
+// entry is. It is known if such an entry has been running for a while.
+func (e *Entry) agentsOfOthers(now time.Time, ofLostHome int) (most int, isKnown bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	most, isKnown := ofLostHome, false
+	most = ofLostHome
 	for _, m := range e.roster.InContact(now) {
 		most, isKnown = max(most, m.Agents), isKnown || !m.Young && m.Agents > 0
 	}
-	return isKnown && len(e.agents) >= most
+	return most, isKnown
 }
 
 // formerHomes returns the entries in contact that are or were home beside or before this one, and the
