Hand a job to its candidates in a fixed order

On a divided site, callers whose entry had not seen them leave submitted a job again, and it ran at both of its candidates: the entry had put the one with the shorter wait first, and that is not always the same one.

An entry now hands a job to its first candidate, and to the second only after the first has rejected it in this submission (RunArgs.Declined). A home takes a job that it does not have only if, in its own view of the homes, all candidates ranked before it have declined; else it answers that the job has moved, and the entry looks up the candidates anew, for as long as a job waits for a home. A home that is not reached has not rejected the job.

The comparison of the waits moves from the entry to the first candidate, which rejects a new job if the second one has the shorter wait.

Earlier builds get "moved" from a second candidate unless the first has rejected the job.

--- a/schedule/answer.go
+++ b/schedule/answer.go
@@ -58,6 +58,12 @@
 	c.outcomeOrder = append(c.outcomeOrder, id)
 }
 
+// HasHad reports whether the outcome of a job is remembered, or that a task of it may have run.
+func (c *Core) HasHad(id string) bool {
+	_, ok := c.outcomes[id]
+	return ok || c.sentJobs[id]
+}
+
 // rememberSent records that a task of a job may have run, so that the job is not
 // reported as not run when its caller submits it again.
 func (c *Core) rememberSent(j *job) {
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -45,10 +45,6 @@
 	return slices.ContainsFunc(e.homes(), func(m roster.Member) bool { return m.Life == e.life })
 }
 
-// handOnDelay is how much shorter the wait at the second candidate must be for a job
-// to be handed there first. Reports of the wait are up to a greeting interval old.
-const handOnDelay = 30 * time.Millisecond
-
 // candidates returns the homes to which a job may be handed, in the order in which
 // they are tried.
 func (e *Entry) candidates(id string) []roster.Member {
@@ -56,21 +52,7 @@
 	if len(homes) <= 1 {
 		return homes
 	}
-	c := roster.Candidates(homes, id)
-	if len(c) > 1 && e.delayAt(c[1])+handOnDelay < e.delayAt(c[0]) {
-		slices.Reverse(c)
-	}
-	return c
-}
-
-// delayAt returns how long a new job would wait at a home.
-func (e *Entry) delayAt(m roster.Member) time.Duration {
-	if m.Life == e.life {
-		return e.home.status.Load().delay
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.homeReports[m.Address].delay
+	return roster.Candidates(homes, id)
 }
 
 // awaitCandidates waits for homes of a job until homeWait is over, lostHomeWait if its
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -13,11 +13,12 @@
 )
 
 // run hands a job to a home and returns its outcome and the last home that was tried. A job that one home rejects is
-// handed on to the next candidate. If a home is lost with the job, run hands it to
+// handed on to the next candidate, in a fixed order (see entry_declined.go). If a home is lost with the job, run hands it to
 // another one, which starts it once no run under the lost home is left.
 func (e *Entry) run(ctx context.Context, j work.Job, receivedAt time.Time) (out work.Outcome, home roster.Member) {
 	firstRun := 0
 	var lost lostHome
+	var d declined
 	for {
 		if ctx.Err() != nil {
 			return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}, home
@@ -27,17 +28,20 @@
 			return noHomeOutcome(lost.any()), home
 		}
 		var result runResult
-		out, home, result = e.runAtAny(ctx, candidates, j, firstRun, receivedAt, &lost)
+		out, home, result = e.runAtAny(ctx, candidates, j, firstRun, receivedAt, &lost, &d)
 		switch result {
 		case homeAnswered:
 			return truthful(out, lost.any()), home
 		case homeUnreached:
+			if d.waitIsOver(e.now(), lost.any()) {
+				return noHomeOutcome(lost.any()), home
+			}
 			sleep(ctx, homePollInterval)
 			continue
 		case callerGone:
 			return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}, home
 		}
-		lost = lostHome{at: e.now(), agents: max(lost.agents, home.Agents)}
+		lost, d = lostHome{at: e.now(), agents: max(lost.agents, home.Agents)}, declined{}
 		e.metrics.jobsHomeLost.Inc(1)
 		e.requestLog.Warn().Str("job", j.ID).Str("home", home.Name).Str("homeLife", home.Life).Msg("home lost with a job; waits for its runs to end")
 		e.homeLost(home)
@@ -65,42 +69,47 @@
 	callerGone
 )
 
-// runAtAny hands a job to the candidates in turn until one of them does not reject it.
-// It returns the outcome and the last home that was tried.
-func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt time.Time, lost *lostHome) (out work.Outcome, home roster.Member, result runResult) {
-	result = homeUnreached
+// runAtAny hands a job to the candidates in turn until one of them does not reject it. Those in d
+// are left out, and those that reject it are added. It returns the outcome and the last home that was tried.
+func (e *Entry) runAtAny(ctx context.Context, candidates []roster.Member, j work.Job, firstRun int, receivedAt time.Time, lost *lostHome, d *declined) (out work.Outcome, home roster.Member, result runResult) {
 	for i := range candidates {
 		home = candidates[i]
-		args := RunArgs{Entry: e.life, FirstRun: firstRun}
+		if d.has(home) {
+			continue
+		}
+		args := RunArgs{Entry: e.life, FirstRun: firstRun, Declined: d.lives}
 		if lost.any() {
 			if !home.Seals {
 				sleep(ctx, RunsOfLostHomeEndAfter-e.now().Sub(lost.at))
 			}
 			args.LostFor, args.LostAgents = e.now().Sub(lost.at), lost.agents
 		}
-		j.Age, j.Alternative = e.now().Sub(receivedAt), i < len(candidates)-1
+		j.Age, j.Alternative = e.now().Sub(receivedAt), d.hasOther(candidates, home)
 		args.Job = j
 		args.Job.Left = j.Left - j.Age
 		answer, moved, err := e.runAt(ctx, home, &args)
 		switch {
 		case err == nil && moved:
-			continue
-		case err == nil:
-			out, result = answer, homeAnswered
-			if out.State != work.Rejected {
-				return out, home, result
+			if len(candidates) > 1 {
+				d.addMoved(e.now())
 			}
+			return out, home, homeUnreached
+		case err == nil && answer.State != work.Rejected:
+			return answer, home, homeAnswered
+		case err == nil:
+			d.add(home, answer)
 		case ctx.Err() != nil:
 			return out, home, callerGone
 		case errors.Is(err, wire.ErrNotSent):
 			e.requestLog.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home not reached; job not handed over")
 			e.homeLost(home)
+			return out, home, homeUnreached
 		default:
 			e.requestLog.Info().Err(err).Str("job", j.ID).Str("home", home.Name).Msg("home does not answer")
 			return out, home, homeLost
 		}
 	}
-	return out, home, result
+	return d.last, home, homeAnswered
 }
 
 // truthful replaces a rejection by an unknown outcome if the job was handed to another
--- a/site/home.go
+++ b/site/home.go
@@ -122,8 +122,8 @@
 	return running > 0 || len(h.waiters) > 0 || h.ledger.Held() && h.ledger.HasChanges()
 }
 
-// run runs a job and waits for its outcome. If this entry is not home of a cell, run
-// does nothing and returns moved.
+// run runs a job and waits for its outcome. If this entry is not home of a cell, or another home
+// is to take the job, run does nothing and returns moved.
 func (h *home) run(ctx context.Context, args *RunArgs) (out work.Outcome, moved bool) {
 	if args.Home == "" && !h.e.placesTasks() || args.Home != "" && args.Home != h.e.life {
 		return out, true
@@ -135,10 +135,17 @@
 		return out, true
 	}
 	known, _ := h.core.HasJob(args.Job.ID)
-	if !h.updateRole() && (args.Home == "" || h.hasListed && !known) {
+	isHome := h.updateRole()
+	if isHome && !known && !h.mayTake(args) || !isHome && (args.Home == "" || h.hasListed && !known) {
 		h.mu.Unlock()
 		return out, true
 	}
+	if !known {
+		if out, declines := h.decline(args); declines {
+			h.mu.Unlock()
+			return out, false
+		}
+	}
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
 	args.FirstRun = max(args.FirstRun, h.claimFormer(args.Job.ID))
 	if args.FirstRun > 0 {
--- a/site/messages.go
+++ b/site/messages.go
@@ -140,12 +140,15 @@
 	// Home is the incarnation of the home that may have the job already; empty for a job
 	// that is handed over for the first time.
 	Home string
+	// Declined names the incarnations of the homes that have rejected the job in this submission. Earlier
+	// builds name none, and are told that the job has moved by its second candidate.
+	Declined []string
 }
 
 // RunReply is sent when the job has ended.
 type RunReply struct {
 	Outcome work.Outcome
-	Moved   bool // the receiver is not home of a cell, or the message was late; it did nothing
+	Moved   bool // the receiver is not home of a cell or not the one to take the job, or the message was late; it did nothing
 }
 
 // WithdrawArgs withdraws a job, since no caller waits for it.
