Have a first candidate decline a job again

A job that its first candidate had rejected, and the second had taken, ran twice if its caller was not seen to leave and submitted it again when the first candidate had room: that home had forgotten it.

The first candidate remembers a job that it rejects while there is a second one, for as long as the caller may wait and then until runs that nobody waits for have ended, and rejects it again. No message is added.

TestCandidatesKeepTheirOrder, first candidate full at the first submission: both tasks run twice before, once now. More callers give up after four attempts, by inference since a job is also rejected while the homes' views differ or its first candidate remembers it.

A change of the homes is not covered: docs/design/cells-and-resubmission.md.

--- a/failure/fleet_candidates_test.go
+++ b/failure/fleet_candidates_test.go
@@ -50,15 +50,20 @@
 // leave submits its job again while another of its candidates has the shorter wait.
 func TestCandidatesKeepTheirOrder(t *testing.T) {
 	for _, tc := range []struct {
-		name       string
-		filledLast bool
+		name                     string
+		filledBefore, filledLast bool
 	}{
 		{name: "no load"},
 		{name: "first candidate full at the second submission", filledLast: true},
+		{name: "first candidate full at the first submission", filledBefore: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runWithCells(t, fleetAgents/2, func(t *testing.T, s *fleet) {
 				s.wantCells(2)
+				if tc.filledBefore {
+					s.fillFirstCandidate(0, 16)
+					time.Sleep(250 * time.Millisecond)
+				}
 				left := s.submitLateFrom("caller1", 1, 300*time.Millisecond)
 				time.Sleep(200 * time.Millisecond)
 				s.network.vanish("caller1")
--- a/site/entry_declined.go
+++ b/site/entry_declined.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -64,17 +65,30 @@
 	return false
 }
 
-// decline reports whether this home rejects a job that it does not have, since the other candidate has
-// the shorter wait. The caller holds mu.
+// declinedJobs are the jobs that a home has rejected and another candidate got. It is guarded by home.mu.
+type declinedJobs struct {
+	declinedUntil       map[string]time.Time // until when a job is rejected again, by ID
+	declinedForgottenAt time.Time            // when forgetDeclined last did its work
+}
+
+// decline reports whether this home rejects a job that it does not have, since the other candidate may
+// have it or has the shorter wait. The caller holds mu.
 func (h *home) decline(args *RunArgs) (out work.Outcome, declines bool) {
 	j := &args.Job
 	if !j.Alternative {
 		return out, false
 	}
-	if !h.isNew(args) || !h.isSlower(args) {
+	switch {
+	case h.e.now().Before(h.declinedUntil[j.ID]):
+		out.Reason = "the other candidate may have it"
+	case h.isNew(args) && h.isSlower(args):
+		out.Reason = "the other candidate has a shorter wait"
+	default:
 		return out, false
 	}
-	return work.Outcome{State: work.Rejected, Reason: "the other candidate has a shorter wait", RetryAfter: time.Second}, true
+	h.rememberDeclined(j)
+	out.State, out.RetryAfter = work.Rejected, time.Second
+	return out, true
 }
 
 // isNew reports whether no home has taken the job of a call before, as far as is known here. The caller
@@ -103,6 +117,33 @@
 	return false
 }
 
+// rememberDeclined remembers that this home has rejected a job which another candidate gets, until no run
+// of it can be left. The caller holds mu.
+func (h *home) rememberDeclined(j *work.Job) {
+	if !j.Alternative {
+		return
+	}
+	if h.declinedUntil == nil {
+		h.declinedUntil = make(map[string]time.Time)
+	}
+	if until := h.e.now().Add(j.Left + formerRunsEndAfter); until.After(h.declinedUntil[j.ID]) {
+		h.declinedUntil[j.ID] = until
+	}
+}
+
+// forgetDeclined forgets the rejected jobs of which no run can be left. The caller holds mu.
+func (h *home) forgetDeclined(now time.Time) {
+	if now.Sub(h.declinedForgottenAt) < forgetDeclinedInterval {
+		return
+	}
+	h.declinedForgottenAt = now
+	maps.DeleteFunc(h.declinedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// forgetDeclinedInterval is the time between two passes over the rejected jobs, of which an overloaded
+// home may have thousands.
+const forgetDeclinedInterval = time.Second
+
 // delayAt returns how long a new job would wait at another home.
 func (e *Entry) delayAt(m roster.Member) time.Duration {
 	e.mu.Lock()
--- a/site/entry_declined_test.go
+++ b/site/entry_declined_test.go
@@ -95,6 +95,49 @@
 	})
 }
 
+// TestDeclinedJobIsDeclinedAgain guards against a double run: the first candidate has rejected a job,
+// which the second one took, and takes it when its caller submits it again.
+func TestDeclinedJobIsDeclinedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHomeOfCell(t)
+		job := work.Job{ID: jobWithFirst(t, h, "e1"), Alternative: true}
+		if out, _ := h.handOver(t, job, 0); out.State != work.Rejected {
+			t.Fatalf("outcome %+v of a home without workers, want a rejection", out)
+		}
+		h.mu.Lock()
+		until := h.declinedUntil[job.ID]
+		h.mu.Unlock()
+		if want := h.e.now().Add(time.Minute + formerRunsEndAfter); !until.Equal(want) {
+			t.Errorf("remembered until %v, want %v", until, want)
+		}
+		taken := func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.forgetDeclined(h.e.now())
+			out, declines := h.decline(&RunArgs{Job: job})
+			return !declines || out.State != work.Rejected || out.RetryAfter <= 0
+		}
+		job.Left = time.Second
+		time.Sleep(time.Minute + formerRunsEndAfter - time.Millisecond)
+		if taken() {
+			t.Error("the job was not rejected again")
+		}
+		time.Sleep(job.Left + formerRunsEndAfter - time.Millisecond)
+		if taken() {
+			t.Error("the job was not rejected again, after the second submission")
+		}
+		time.Sleep(job.Left + formerRunsEndAfter)
+		if !taken() {
+			t.Error("the job was rejected when no run of it can be left")
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if len(h.declinedUntil) > 0 {
+			t.Errorf("%d jobs are remembered", len(h.declinedUntil))
+		}
+	})
+}
+
 // TestFirstCandidateDeclinesForTheLoad checks that the first candidate hands a job to the second if the
 // wait there is clearly shorter, and never one that a home may have run.
 func TestFirstCandidateDeclinesForTheLoad(t *testing.T) {
@@ -121,6 +164,7 @@
 			h.e.mu.Unlock()
 			hearOtherHome(h.e)
 			h.mu.Lock()
+			clear(h.declinedUntil)
 			if _, got := h.decline(&RunArgs{Job: work.Job{ID: id, Alternative: tc.alternative}, FirstRun: tc.firstRun, Home: tc.home}); got != tc.want {
 				t.Errorf("%+v: declines %t", tc, got)
 			}
--- a/site/home.go
+++ b/site/home.go
@@ -47,6 +47,7 @@
 	// lastOrder is the number of the last order to any agent. It never restarts while
 	// the process runs, although links are replaced: agents take no number twice.
 	lastOrder uint64
+	declinedJobs
 	storedJobs
 }
 
@@ -84,6 +85,7 @@
 type waiter struct {
 	entry entrySession
 	call  uint64            // see RunArgs
+	job   *work.Job         // as it was handed over
 	done  chan work.Outcome // buffered for the one outcome
 }
 
@@ -128,7 +130,7 @@
 	if args.Home == "" && !h.e.placesTasks() || args.Home != "" && args.Home != h.e.life {
 		return out, true
 	}
-	w := &waiter{entry: entrySession{args.Entry, args.Session}, call: args.Call, done: make(chan work.Outcome, 1)}
+	w := &waiter{entry: entrySession{args.Entry, args.Session}, call: args.Call, job: &args.Job, done: make(chan work.Outcome, 1)}
 	h.mu.Lock()
 	if h.closed || !h.recordContactLocked(w.entry, args.Echo) || h.isWithdrawn(entryCall{args.Entry, args.Call}) {
 		h.mu.Unlock()
@@ -146,6 +148,7 @@
 			return out, false
 		}
 	}
+	delete(h.declinedUntil, args.Job.ID)
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
 	args.FirstRun = max(args.FirstRun, h.claimFormer(args.Job.ID))
 	if args.FirstRun > 0 {
@@ -252,6 +255,7 @@
 	h.dropOutOfContact(now)
 	h.forgetWithdrawn(now)
 	h.forgetFormer(now)
+	h.forgetDeclined(now)
 	h.core.Tick(now)
 	h.deliverDecisions()
 	waiting, running := h.core.Load()
--- a/site/home_decisions.go
+++ b/site/home_decisions.go
@@ -1,6 +1,9 @@
 package site
 
-import "masticbay/schedule"
+import (
+	"masticbay/schedule"
+	"masticbay/work"
+)
 
 // deliverDecisions takes the decisions of the core: it records them in the ledger,
 // answers waiters, sends orders and writes log lines. The caller holds mu.
@@ -9,6 +12,9 @@
 	h.recordDecisions(&d)
 	for _, answer := range d.Outcomes {
 		for _, w := range h.waiters[answer.Job] {
+			if answer.Outcome.State == work.Rejected {
+				h.rememberDeclined(w.job)
+			}
 			w.done <- answer.Outcome
 		}
 		delete(h.waiters, answer.Job)
