Do not report a stored job as unknown without an answer

What callers saw: 410, so no such job, when they asked for the state of an accepted job at an entry that stopped (LOST; KNOWN-RED 30).

Cause: if neither a home nor the store had answered when the request's context ended, the empty state was written. The context ends 0.3 s before the grace of a stop ends, or when the connection breaks. In the test entries end by Kill; the in-memory connection closes reading first, so the 410 could still leave.

Evidence: TestUnansweredStateIsNotUnknown fails before.

Change: the store is asked in any case; a caller that has gone gets nothing, and otherwise the answer is 503 if the store gives none.

Why it works: 410 is only written after the store has said that it has no such job. KNOWN-RED 30 is taken from the list.

--- a/site/entry_stored.go
+++ b/site/entry_stored.go
@@ -107,10 +107,14 @@
 		}
 		return *rep, nil
 	})
-	if (!ok || rep.State == "") && ctx.Err() == nil {
+	if !ok || rep.State == "" {
 		// A home that has lost the ledger without knowing it may not know the job.
 		var err error
-		if rep.State, err = e.storedState(ctx, id); err != nil {
+		rep.State, err = e.storedState(ctx, id)
+		switch {
+		case r.Context().Err() != nil:
+			return // the caller has gone
+		case err != nil:
 			e.requestLog.Warn().Err(err).Str("job", id).Msg("state not known")
 			e.logWriteError(platform.WriteRefusal(w, http.StatusServiceUnavailable, time.Second))
 			return
