Seal every run of a job that another home has ordered

Cause: a seal covers runs up to a number, by which the entry that hands the job over counts its own losses. A run of another entry's takeover has a higher number: its agent answers the seal, and the run goes on beside the next one.

Change: a seal covers all runs of the job that another home than the sealing one has ordered, and its own up to the number.

Why it works: a home places runs of the job only after its seal, so a run of another home is never one that it counts on. Starts that arrive after the seal are still refused by number only; those of another home are refused as the agent follows the sealing one, except on a site of several cells.

--- a/worker/seal.go
+++ b/worker/seal.go
@@ -8,8 +8,9 @@
 	"masticbay/work"
 )
 
-// Seal demands that runs of the job numbered up to UpTo end and that none starts. The home
-// that gets a job from a lost one seals it, and numbers its own runs higher.
+// Seal demands that runs of the job that another home has ordered, or that are numbered up to UpTo,
+// end, and that none up to UpTo starts. The home that gets a job from a lost one seals it, and numbers
+// its own runs higher. It may not know all numbers, as several entries hand a job over.
 type Seal struct {
 	Job  string
 	UpTo int
@@ -27,8 +28,10 @@
 	seal  Seal
 }
 
-// covers reports whether the seal forbids a run.
-func (s Seal) covers(r work.Run) bool { return r.Task.Job == s.Job && r.Number <= s.UpTo }
+// covers reports whether the request waits for the end of a run.
+func (q *sealRequest) covers(r *run) bool {
+	return r.start.Run.Task.Job == q.seal.Job && (r.entry != q.entry || r.start.Run.Number <= q.seal.UpTo)
+}
 
 // Seal seals jobs for an entry. Each seal adds an event that ends as work.Sealed, with the
 // job and UpTo as its run, once no run that it covers is left. A run is left until its end
@@ -36,12 +39,13 @@
 func (g *Guard) Seal(now time.Time, entry string, seals []Seal) {
 	for _, s := range seals {
 		g.seals[s.Job] = sealState{upTo: max(s.UpTo, g.seals[s.Job].upTo), sealedAt: now}
+		q := sealRequest{entry: entry, seal: s}
 		for _, ref := range g.sortedTasks() {
-			if r := g.runs[ref]; s.covers(r.start.Run) && r.stopRequestedAt.IsZero() {
+			if r := g.runs[ref]; q.covers(r) && r.stopRequestedAt.IsZero() {
 				g.stop(now, r, stopSealed)
 			}
 		}
-		g.sealRequests = append(g.sealRequests, sealRequest{entry: entry, seal: s})
+		g.sealRequests = append(g.sealRequests, q)
 	}
 	g.answerSeals()
 }
@@ -58,7 +62,7 @@
 		return
 	}
 	g.sealRequests = slices.DeleteFunc(g.sealRequests, func(q sealRequest) bool {
-		if g.hasRunOf(q.seal) {
+		if g.hasRunOf(&q) {
 			return false
 		}
 		g.addEvent(q.entry, Event{Run: work.Run{Task: work.TaskRef{Job: q.seal.Job}, Number: q.seal.UpTo}, End: work.Sealed})
@@ -66,10 +70,10 @@
 	})
 }
 
-// hasRunOf reports whether a run that a seal covers may be active.
-func (g *Guard) hasRunOf(s Seal) bool {
+// hasRunOf reports whether a run that a request covers may be active.
+func (g *Guard) hasRunOf(q *sealRequest) bool {
 	for _, r := range g.runs {
-		if s.covers(r.start.Run) {
+		if q.covers(r) {
 			return true
 		}
 	}
