Show a double run after a restart of all entries

Callers whose connections broke as all entries were killed, and who are back within 80 ms, see their task run twice at the same time.

Cause: the next home places new jobs before the agents that run the earlier ones have announced themselves, which they do every 0.7 s. An agent that restarts with the entries is found at once.

--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -153,3 +153,30 @@
 		}
 	}
 }
+
+// agentsSettleTime is longer than agents announce themselves often after their start.
+const agentsSettleTime = 12 * time.Second
+
+// TestAgentThatRestartsOverlapsResubmission guards against a double run: all entries restart, an agent that
+// was lost before restarts too, and the next home knows only this agent as the caller is back.
+func TestAgentThatRestartsOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 35")
+	}
+	for _, downtime := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond} {
+		forReturns(t, fmt.Sprint("all entries killed for ", downtime), func(s *fleet, home, entry int, delay time.Duration) {
+			time.Sleep(agentsSettleTime)
+			s.killAgent(0)
+			time.Sleep(time.Second)
+			s.loseLateJob(func() {
+				time.AfterFunc(downtime+10*time.Millisecond, func() { s.startAgent(0) })
+				for i := range fleetEntries {
+					s.killEntry(i)
+					time.AfterFunc(downtime, func() { s.startEntry(i) })
+				}
+			})
+			s.submitWithin(s.ctx, home+1, 8*time.Second)
+			s.comeBack(entry, delay)
+		})
+	}
+}
