End the wait for a former home that no agent follows

What callers saw: in a soak of real processes jobs waited for up to 6.4 s and were rejected, beside two homes that were each home in their own view for over 3 s. The next home asked the other one for its jobs every 15 ms, without an end by time, and claimed no agent before it answered.

TestFormerHomeThatStaysHomeDelaysJobs covers the decision.

--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -166,8 +166,14 @@
 	return !ok
 }
 
-// AwaitsFormerHomes reports whether a former home has not listed its jobs yet.
-func (c *Core) AwaitsFormerHomes() bool { return len(c.earlier.homes) > 0 }
+// AwaitsFormerHome reports whether a former home has not listed its jobs yet.
+func (c *Core) AwaitsFormerHome(life string) bool { return c.earlier.homes[life] }
+
+// MayClaim reports whether agents may be asked to follow this home. A former home in contact, which goes on
+// with its jobs, gets some time to list them before.
+func (c *Core) MayClaim(now time.Time) bool {
+	return c.hasTerm && (len(c.earlier.homes) == 0 || now.Sub(c.termBegunAt) > c.cfg.SuspectAfter)
+}
 
 // AwaitsRunLists reports whether there may be runs of earlier homes that are not listed.
 func (c *Core) AwaitsRunLists() bool {
@@ -256,6 +262,9 @@
 	}
 	if a, ok := c.earlier.agents[t.agent]; ok && (r.AskedAt.IsZero() || !r.AskedAt.Before(a.since)) && (r.ListsAllRuns || r.Follows && !a.lists) {
 		delete(c.earlier.agents, t.agent)
+		if len(c.earlier.agents) == 0 && c.earlier.silent == 0 {
+			clear(c.earlier.homes) // no former home can start anything any more
+		}
 		c.expireRunLists(now)
 		c.releaseSealed(now)
 		return true
--- a/schedule/earlier_test.go
+++ b/schedule/earlier_test.go
@@ -152,3 +152,22 @@
 		t.Errorf("%d seals once the agent follows this home, want 1", n)
 	}
 }
+
+// TestFormerHomeThatStaysHomeDelaysJobs guards against jobs that wait for the list of a former home which is still
+// home in its own view: once all agents follow this home, it can start nothing.
+func TestFormerHomeThatStaysHomeDelaysJobs(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm([]string{"e1"}, "a")
+	h.submit(job("j", 0, 1, time.Second))
+	if h.c.MayClaim(h.now) {
+		t.Error("the agents may be claimed before the former home had time to list its jobs")
+	}
+	h.advance(cfg.SuspectAfter + 20*time.Millisecond)
+	if !h.c.MayClaim(h.now) {
+		t.Error("the agents may not be claimed")
+	}
+	h.wantStarts("a", 0)
+	h.list("a", nil)
+	h.wantStarts("a", 1)
+}
--- a/site/home_former.go
+++ b/site/home_former.go
@@ -113,7 +113,6 @@
 		return false, 0
 	}
 	if rep.Places {
-		e.log.Info().Str("entry", m.Name).Msg("former home has not given its role away yet")
 		return false, 0
 	}
 	e.log.Info().Str("entry", m.Name).Int("jobs", len(rep.Jobs)).Msg("open jobs of a former home")
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -116,12 +116,12 @@
 
 // claimFor returns the claim that is sent to an agent. The caller holds mu.
 func (h *home) claimFor(agent string) (c claimArgs) {
-	if !h.wasHome || h.core.AwaitsFormerHomes() {
-		return c // a former home goes on with its jobs until it has listed them
+	now := h.e.now()
+	if !h.wasHome || h.wasAlone && !h.core.MayClaim(now) {
+		return c
 	}
 	h.e.mu.Lock()
 	defer h.e.mu.Unlock()
-	now := h.e.now()
 	homes := h.e.roster.Homes(now)
 	switch {
 	case len(homes) > 1:
@@ -145,9 +145,12 @@
 
 // awaitFormerHome asks a former home for its open jobs until it answers or is out of contact.
 func (h *home) awaitFormerHome(m roster.Member) {
-	for h.e.ending.Err() == nil {
+	for n := 0; h.e.ending.Err() == nil; n++ {
 		listed, term := h.e.fetchOpenJobs(m)
-		if listed || !h.e.isInContact(m) {
+		if n == 0 && !listed {
+			h.e.log.Info().Str("entry", m.Name).Msg("former home has not given its role away yet")
+		}
+		if listed || !h.e.isInContact(m) || !h.awaits(m) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.core.FormerHomeListed(h.e.now(), m.Life, listed && term > 0 && term+1 == h.term)
@@ -158,6 +161,13 @@
 	}
 }
 
+// awaits reports whether a former home is awaited.
+func (h *home) awaits(m roster.Member) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.AwaitsFormerHome(m.Life)
+}
+
 // formerRetryInterval is the time between questions to a former home that has not given its role
 // away yet or does not answer.
 const formerRetryInterval = 15 * time.Millisecond
