Describe the terms of homes, and show a double run across a partition

KNOWN-RED 36 is what the rule does not cover: two sides that can not reach one another, each with a home and agents.

--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -180,3 +181,32 @@
 		})
 	}
 }
+
+// TestPartitionOverlapsResubmission guards against a double run: a home and the agents of a job are cut off from
+// the others, and the caller of the job submits it on the other side.
+func TestPartitionOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 36")
+	}
+	runWithFleet(t, func(_ *testing.T, s *fleet) {
+		const duration = 4 * time.Second
+		home := s.home()
+		done := s.submitLateFrom("caller1", home, 200*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		s.network.vanish("caller1")
+		<-done
+		agents := s.lateJobAgents()
+		s.cutHomeFromEntries(home, duration)
+		for a := range fleetAgents {
+			for e := range fleetEntries {
+				if slices.Contains(agents, a) != (e == home) {
+					s.cutFor(fmt.Sprint("a", a), fmt.Sprint("e", e), duration)
+				}
+			}
+		}
+		time.Sleep(2 * time.Second)
+		<-s.submitLate(home+1, 2*time.Second)
+		s.describeRuns(lateJob + ".0.0.0")
+		time.Sleep(duration)
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,8 +10,8 @@
 // under the next term. All entries greet a panel: the home and the candidates for
 // failover, which are the strongest entries. Agents announce themselves to the panel
 // only, so that the cost of contact per process hardly grows with the site. Two entries
-// may act as home for a while, for example on both sides of a network partition: agents
-// decide on the free capacity of their workers themselves and so can serve both.
+// may act as home for a while, for example on both sides of a network partition: each agent
+// follows one of them.
 //
 // A large site is divided into cells, each with a home of its own. The home of the site
 // sets their number, Homes names their homes, and Cell tells which agents belong to
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -20,7 +20,8 @@
 // task start again.
 //
 // A job that another home may have started is placed once all agents have sealed it, so
-// that no earlier run of it is left; see Handover.
+// that no earlier run of it is left; see Handover. At the beginning of a term no job is known, so
+// each may have been started: jobs wait until the agents have listed what they run; see BeginTerm.
 //
 // Stored jobs outlive the home. Their tasks are placed only under a tenure: the
 // ledger holder's term, a lease with an epoch. A life is one incarnation of a
@@ -33,7 +34,8 @@
 // # Usage
 //
 //	c := schedule.NewCore(cfg)
-//	c.Submit(now, job)
+//	c.BeginTerm(now, agents, formerHomes, until)
+//	c.Submit(now, job, 0)
 //	c.Report(now, "10.1.0.14:7720", report)
 //	d := c.Take() // orders for agents, outcomes for entries
 package schedule
--- a/site/site.go
+++ b/site/site.go
@@ -15,8 +15,9 @@
 // Jobs whose callers wait for the end are not stored. If the connection to a home
 // breaks, the entry asks the same home again, which goes on with its jobs. If a home is
 // lost, the entries hand their jobs to another one only when every run of the lost home
-// has certainly ended. If an entry is lost, its callers submit again, and its runs have
-// ended by then. The times in this file guarantee both.
+// has certainly ended; the times in this file guarantee that. If an entry is lost, its callers submit
+// again, at any entry and after any time. A home knows which of these jobs have runs: it places none
+// before the agents have listed theirs, each of which follows one home (home_term.go).
 //
 // Stored jobs are in the ledger (package ledger), which one home holds at a time for
 // a tenure (its term, a lease with an epoch). The next holder goes on with their runs.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -17,8 +17,9 @@
 // show may have ended.
 //
 // While a stop is overdue, the agent withholds the lease of its worker, which ends the run
-// with the lease. A home that takes over a job from a lost home has the agent seal the job:
-// the agent ends its runs up to a number, and refuses to start such runs later.
+// with the lease. An agent follows one home at a time, and tells it which runs of others are left; see
+// Claim. A home that takes over a job from a lost home has the agent seal the job:
+// the agent ends its runs of other homes, and refuses to start runs up to a number later.
 //
 // Tokens are derived from the start time of the worker's incarnation and from the
 // worker's own clock, which only rises during an incarnation. So they rise across
@@ -37,6 +38,7 @@
 //
 //	g := worker.NewGuard(cfg)
 //	g.TakeHeartbeat(now, target, clock)
+//	g.Claim(now, claim)
 //	g.Order(now, "entry-1", echo, starts, stops)
 //	for _, o := range g.Take() { ... }
 //	g.PollAnswered(now, snapshot)
