--- a/roster/roster.go
+++ b/roster/roster.go
@@ -171,6 +171,20 @@
 	r.peers[m.Address] = &peer{Member: m, lastContact: now}
 }
 
+// maxTerm bounds the terms that are recorded, so that a malformed one does not shut out those after it.
+const maxTerm = 1 << 40
+
+// RecordTerm records the term of a home that another entry knows. This entry becomes home under a higher
+// one.
+func (r *Roster) RecordTerm(term uint64) {
+	if term <= maxTerm {
+		r.highestTerm = max(r.highestTerm, term)
+	}
+}
+
+// HighestTerm returns the highest term of any home that is known.
+func (r *Roster) HighestTerm() uint64 { return r.highestTerm }
+
 // MarkUnreachable records that a peer's process has ended or is unreachable.
 func (r *Roster) MarkUnreachable(address string) {
 	if p, ok := r.peers[address]; ok {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -41,7 +41,7 @@
 	if isNew && !c.isStarting(now) {
 		delay = time.Duration(c.workAhead(j) / c.speedFor(j, capacity) * float64(time.Millisecond))
 	}
-	if s := j.sealing; s != nil && (!s.Complete || s.Silent || s.isNew && c.awaitsSilentAgent(now)) {
+	if s := j.sealing; s != nil && (!s.Complete || s.Silent || s.byRunList && c.awaitsSilentAgent(now)) {
 		delay = max(delay, c.sealedBy(s).Sub(now))
 	}
 	need := time.Duration(float64(c.chainTime(j))*capacity.minSlowness) + c.cfg.Margin
@@ -175,7 +175,7 @@
 	values["retryMs"], values["cutoffMs"] = ms(retry), ms(j.cutoff.Sub(now))
 	c.addNote(Note{Job: j.ID, Kind: "rejected", Reason: reason, Values: values})
 	out := work.Outcome{State: work.Rejected, Reason: reason, RetryAfter: retry}
-	if j.sealing != nil && j.sealing.isNew && j.sealing.RunNumberBase > 0 || c.sentJobs[j.ID] {
+	if j.mayHaveRun || c.sentJobs[j.ID] {
 		out = work.Outcome{State: work.Unknown, Reason: "ran before its caller was lost; now " + reason}
 	}
 	c.close(j, out)
--- a/schedule/answer.go
+++ b/schedule/answer.go
@@ -58,8 +58,8 @@
 	c.outcomeOrder = append(c.outcomeOrder, id)
 }
 
-// HasHad reports whether the outcome of a job is remembered, or that a task of it may have run.
-func (c *Core) HasHad(id string) bool {
+// MayHaveRun reports whether the outcome of a job is remembered, or that a task of it may have run.
+func (c *Core) MayHaveRun(id string) bool {
 	_, ok := c.outcomes[id]
 	return ok || c.sentJobs[id]
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -178,7 +178,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(c.sealing, func(s *sealing) bool { return !s.isNew })
+	return slices.ContainsFunc(c.sealing, func(s *sealing) bool { return !s.byRunList })
 }
 
 // OpenJobs returns, by ID, the jobs that are not answered yet or may have a run, and above which
@@ -187,7 +187,7 @@
 func (c *Core) OpenJobs() map[string]int {
 	open := make(map[string]int)
 	for _, s := range c.sealing {
-		if !s.isNew { // otherwise its agents list the runs that it may have
+		if !s.byRunList { // otherwise its agents list the runs that it may have
 			open[s.job] = max(open[s.job], s.RunNumberBase)
 		}
 	}
--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -17,7 +17,7 @@
 type earlierHomes struct {
 	begunAt time.Time
 	agents  map[string]awaitedAgent // may have runs of other homes
-	homes   map[string]bool         // have not listed their jobs yet; by incarnation
+	homes   map[string]time.Time    // have not listed their jobs yet; by incarnation: until when they are awaited
 	silent  int                     // agents that have not answered in time
 }
 
@@ -32,35 +32,36 @@
 // (see FormerHomeListed), or until the time until. That includes the jobs of an earlier term of
 // this home, which another home may have got meanwhile.
 func (c *Core) BeginTerm(now time.Time, agents, homes []string, until time.Time) {
-	c.earlier = earlierHomes{begunAt: now, agents: make(map[string]awaitedAgent), homes: make(map[string]bool)}
+	c.earlier = earlierHomes{begunAt: now, agents: make(map[string]awaitedAgent), homes: make(map[string]time.Time)}
 	c.hasTerm, c.termBegunAt = true, now
-	for _, a := range agents {
+	for _, a := range slices.Concat(agents, c.agentNames) {
 		c.earlier.agents[a] = awaitedAgent{since: now, lists: true, until: until}
 	}
 	for _, h := range homes {
-		c.earlier.homes[h] = true
+		c.earlier.homes[h] = now.Add(c.cfg.RunsOfOthersEndAfter)
 	}
 	c.addNote(Note{Kind: "termBegins", Reason: "this entry is home now", Values: map[string]float64{"agents": float64(len(agents)), "formerHomes": float64(len(homes))}})
 	c.expireRunLists(now)
 	c.awaitRunListsOfAll(now)
 }
 
-// EndTerm ends the term. Agents need not follow this home any more. If isShared is set, they serve
-// this home and others from now on, and their lists are not awaited.
-func (c *Core) EndTerm(now time.Time, isShared bool) {
-	c.hasTerm = false
-	if isShared {
-		c.earlier = earlierHomes{}
-		c.releaseSealed(now)
-		c.placeWaiting(now)
-	}
+// EndTerm ends the term. Agents need not follow this home any more.
+func (c *Core) EndTerm() { c.hasTerm = false }
+
+// ShareAgents ends the term as the agents serve this home and others from now on. Their lists are not
+// awaited.
+func (c *Core) ShareAgents(now time.Time) {
+	c.EndTerm()
+	c.earlier = earlierHomes{}
+	c.releaseSealed(now)
+	c.placeWaiting(now)
 }
 
 // JobsToGiveBack returns the jobs that wait for lists, and of which no task was sent. They can be handed
 // to the next home.
 func (c *Core) JobsToGiveBack() (ids []string) {
 	for id, j := range c.jobs {
-		if !j.answered && !j.wasSent && j.sealing != nil && j.sealing.isNew {
+		if !j.answered && !j.wasSent && j.sealing != nil && j.sealing.byRunList {
 			ids = append(ids, id)
 		}
 	}
@@ -81,7 +82,7 @@
 // of the homes before it, agents that are out of contact are not awaited any more. The others still
 // have to follow this home, as they may have followed another one since.
 func (c *Core) FormerHomeListed(now time.Time, life string, knewAllRuns bool) {
-	if !c.earlier.homes[life] {
+	if !c.AwaitsFormerHome(life) {
 		return
 	}
 	delete(c.earlier.homes, life)
@@ -104,7 +105,7 @@
 const UnknownAgent = ""
 
 // AwaitsUnknownAgent reports whether UnknownAgent is awaited.
-func (c *Core) AwaitsUnknownAgent() bool { return !c.HasRunList(UnknownAgent) }
+func (c *Core) AwaitsUnknownAgent() bool { return c.AwaitsAgent(UnknownAgent) }
 
 // AgentsKnown records that there are no agents but the given ones, which replace UnknownAgent.
 func (c *Core) AgentsKnown(now time.Time, agents []string) {
@@ -139,9 +140,21 @@
 	}
 }
 
+// countsSince reports whether a report was asked for since the agent is awaited.
+func (a *awaitedAgent) countsSince(r *Report) bool {
+	return r.AskedAt.IsZero() || !r.AskedAt.Before(a.since)
+}
+
+// listed ends the wait for an agent.
+func (c *Core) listed(now time.Time, agent string) {
+	delete(c.earlier.agents, agent)
+	c.expireRunLists(now)
+	c.releaseSealed(now)
+}
+
 func (c *Core) await(agent string, a awaitedAgent) {
 	if c.earlier.agents == nil {
-		c.earlier = earlierHomes{begunAt: a.since, agents: make(map[string]awaitedAgent), homes: make(map[string]bool)}
+		c.earlier = earlierHomes{begunAt: a.since, agents: make(map[string]awaitedAgent), homes: make(map[string]time.Time)}
 	}
 	c.earlier.agents[agent] = a
 }
@@ -160,14 +173,17 @@
 	c.awaitRunListsOfAll(now)
 }
 
-// HasRunList reports whether an agent need not list its runs any more.
-func (c *Core) HasRunList(agent string) bool {
+// AwaitsAgent reports whether an agent has to list its runs or to follow this home.
+func (c *Core) AwaitsAgent(agent string) bool {
 	_, ok := c.earlier.agents[agent]
-	return !ok
+	return ok
 }
 
 // AwaitsFormerHome reports whether a former home has not listed its jobs yet.
-func (c *Core) AwaitsFormerHome(life string) bool { return c.earlier.homes[life] }
+func (c *Core) AwaitsFormerHome(life string) bool {
+	_, ok := c.earlier.homes[life]
+	return ok
+}
 
 // MayClaim reports whether agents may be asked to follow this home. A former home in contact, which goes on
 // with its jobs, gets some time to list them before.
@@ -188,6 +204,8 @@
 			c.earlier.silent++
 		}
 	}
+	// The agents follow this home by now, so a former home that does not answer can start nothing there.
+	maps.DeleteFunc(c.earlier.homes, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if c.earlier.begunAt.IsZero() || c.AwaitsRunLists() {
 		return
 	}
@@ -215,24 +233,24 @@
 
 // awaitRunLists keeps a new job from being placed while it may have runs of other homes.
 func (c *Core) awaitRunLists(now time.Time, j *job) {
-	if j.Stored {
-		return // the ledger knows it
+	highest := c.highestRunOfOthers(j.ID)
+	if j.Stored || highest == 0 && !c.AwaitsRunLists() {
+		return // the ledger knows stored jobs
 	}
-	s := &sealing{job: j.ID, startedAt: now, asked: make(map[string]bool), isNew: true}
-	s.Complete, s.RunNumberBase, s.RunsEndAt = true, max(j.runNumberBase, c.highestRunOfOthers(j.ID)), now.Add(c.cfg.RunsOfOthersEndAfter)
+	s := &sealing{job: j.ID, startedAt: now, asked: make(map[string]bool), byRunList: true}
+	s.Complete, s.RunNumberBase, s.RunsEndAt = true, max(j.runNumberBase, highest), now.Add(c.cfg.RunsOfOthersEndAfter)
 	for _, a := range c.agentNames {
 		if _, ok := c.targets[a].runsOfOthers[j.ID]; ok {
 			s.asked[a] = false
 		}
 	}
-	if len(s.asked) > 0 || c.AwaitsRunLists() {
-		c.startSealing(now, j, s)
-	}
+	j.mayHaveRun = j.mayHaveRun || highest > 0
+	c.startSealing(now, j, s)
 }
 
 // sealedBy returns when the runs that a sealing waits for have ended at the latest.
 func (c *Core) sealedBy(s *sealing) time.Time {
-	if !s.isNew || len(s.asked) > 0 {
+	if !s.byRunList || len(s.asked) > 0 {
 		return s.RunsEndAt
 	}
 	var end time.Time
@@ -260,16 +278,15 @@
 			c.sealListed(now, s, t.agent, n)
 		}
 	}
-	if a, ok := c.earlier.agents[t.agent]; ok && (r.AskedAt.IsZero() || !r.AskedAt.Before(a.since)) && (r.ListsAllRuns || r.Follows && !a.lists) {
-		delete(c.earlier.agents, t.agent)
-		if len(c.earlier.agents) == 0 && c.earlier.silent == 0 {
-			clear(c.earlier.homes) // no former home can start anything any more
-		}
-		c.expireRunLists(now)
-		c.releaseSealed(now)
-		return true
+	a, ok := c.earlier.agents[t.agent]
+	if !ok || !a.countsSince(r) || !r.ListsAllRuns && (a.lists || !r.Follows) {
+		return changed
 	}
-	return changed
+	if len(c.earlier.agents) == 1 && c.earlier.silent == 0 {
+		clear(c.earlier.homes) // no former home can start anything any more
+	}
+	c.listed(now, t.agent)
+	return true
 }
 
 // sealListed has an agent seal a job of which it lists a run of another home.
@@ -282,11 +299,11 @@
 		for a := range s.asked {
 			s.asked[a] = false
 		}
-		if !s.isNew {
+		if !s.byRunList {
 			c.requireSeal(s)
 		}
 		if j, ok := c.jobs[s.job]; ok && j.sealing == s {
-			j.runNumberBase = n
+			j.runNumberBase, j.mayHaveRun = n, true
 		}
 	}
 	if _, pending := s.asked[agent]; !pending {
--- a/schedule/earlier_test.go
+++ b/schedule/earlier_test.go
@@ -171,3 +171,79 @@
 	h.list("a", nil)
 	h.wantStarts("a", 1)
 }
+
+// TestListedRunOutlastsOldSealing guards against a double run: a job has waited for longer than the
+// leases of runs last, when an agent lists a run of it that another home has just ordered.
+func TestListedRunOutlastsOldSealing(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.addAgent("b", 1)
+	h.beginTerm(nil, "a", "b")
+	j := job("j", 0, 1, time.Second)
+	j.Left, j.Queue.Target = 10*time.Second, 10*time.Second
+	h.submit(j)
+	for end := h.now.Add(2 * cfg.RunsOfOthersEndAfter); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+		h.followOther("a")
+		h.followOther("b")
+	}
+	h.list("a", map[string]int{"j": 1})
+	h.list("b", nil)
+	if n := h.numStarts(); n != 0 || len(h.seals["a"]) != 1 {
+		t.Fatalf("%d starts, seals %v; want a seal at a first", n, h.seals)
+	}
+	h.report("a", schedule.Event{Run: work.Run{Task: work.TaskRef{Job: "j"}, Number: 1}, End: work.Sealed})
+	if n := h.numStarts(); n != 1 {
+		t.Errorf("%d starts after the seal, want 1", n)
+	}
+}
+
+// longJob is a job that can wait for long.
+func longJob(id string) work.Job {
+	j := job(id, 0, 1, time.Second)
+	j.Left, j.Queue.Target = 20*time.Second, 20*time.Second
+	return j
+}
+
+// TestRestartedAgentWithoutWorkerDelaysJobs guards against jobs that wait without an end for an agent that
+// has restarted and whose worker does not answer.
+func TestRestartedAgentWithoutWorkerDelaysJobs(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.addAgent("b", 1)
+	h.beginTerm(nil, "a", "b")
+	h.list("a", nil)
+	h.list("b", nil)
+	h.c.Report(h.now, "b", &schedule.Report{Life: "2", Target: h.agents["b"], Follows: true})
+	h.submit(longJob("j"))
+	if n := h.numStarts(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// TestFormerHomeThatDoesNotAnswerDelaysJobs guards against jobs that wait without an end for a former home that
+// is in contact and does not list its jobs, beside an agent that is lost.
+func TestFormerHomeThatDoesNotAnswerDelaysJobs(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm([]string{"e1"}, "a", "lost")
+	h.list("a", nil)
+	h.advance(300 * time.Millisecond)
+	h.submit(longJob("j"))
+	h.wantStarts("a", 0)
+	h.advance(cfg.RunsOfOthersEndAfter)
+	h.wantStarts("a", 1)
+}
+
+// TestJobWithARunIsRejectedAfterItsSeal guards against a job that is reported as not run, although an agent has
+// listed a run of it.
+func TestJobWithARunIsRejectedAfterItsSeal(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.beginTerm(nil, "a")
+	h.submit(job("long", 0, 1, time.Second))
+	h.list("a", map[string]int{"j": 1})
+	h.submit(job("j", 0, 1, 100*time.Millisecond))
+	h.report("a", schedule.Event{Run: work.Run{Task: work.TaskRef{Job: "j"}, Number: 1}, End: work.Sealed})
+	h.advance(2 * time.Second)
+	h.wantOutcome("j", work.Unknown)
+}
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -29,7 +29,7 @@
 	job       string
 	startedAt time.Time
 	asked     map[string]bool // by agent that has not sealed the job: it was asked to
-	isNew     bool            // the job is not known to have had another home; see Core.awaitRunLists
+	byRunList bool            // the job is not known to have had another home; see Core.awaitRunLists
 }
 
 // TakeOver is Submit for a job that another home may have started.
@@ -97,7 +97,7 @@
 // requireSeals has a new agent, or a new incarnation of one, seal all jobs that wait.
 func (c *Core) requireSeals(agent string) {
 	for _, s := range c.sealing {
-		if s.Complete && !s.isNew {
+		if s.Complete && !s.byRunList {
 			s.asked[agent] = false
 		}
 	}
@@ -143,7 +143,7 @@
 			return true
 		}
 		j.sealing = nil
-		if !j.answered && !(s.isNew && sealed && s.RunNumberBase == 0) {
+		if !j.answered && !(s.byRunList && sealed && s.RunNumberBase == 0) {
 			reason := "no agent runs it"
 			if !sealed {
 				reason = "the leases of earlier runs have expired"
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -19,6 +19,7 @@
 	running        int
 	minCPU         int  // of any task, in thousandths of a core
 	wasSent        bool // a task of it was sent to an agent
+	mayHaveRun     bool // an agent has listed a run of it that another home has ordered
 	begun          bool // a run of it has ended, and was not refused
 	withdrawn      bool // its caller is gone
 	answered       bool
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -77,11 +77,11 @@
 		c.awaitNew(now, t)
 	}
 	if t.life != r.Life {
-		c.awaitFollower(now, t)
 		if !r.Settled {
 			t.ready = false
 			return // runs of its previous incarnation may not have ended yet
 		}
+		c.awaitFollower(now, t)
 		c.lapseRuns(now, t, "agent started anew", true)
 		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted, t.knownSince = r.Life, 0, 0, nil, now
 		c.requireSeals(agent)
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -73,7 +73,7 @@
 	before := a.guard.Leader()
 	a.guard.Claim(now, worker.Claim{Home: args.Home, Seq: c.Seq, Term: c.Term, Reach: c.Reach, Former: c.Former, Shared: c.Shared})
 	if after := a.guard.Leader(); after != before {
-		a.log.Info().Str("home", after).Str("before", before).Uint64("term", c.Term).Int("reach", c.Reach).Strs("former", c.Former).
+		a.log.Info().Str("home", after).Str("before", before).Uint64("term", c.Term).Int("reach", c.Reach).Int("former", len(c.Former)).
 			Int("runsOfOthers", len(a.guard.RunsOfOthers(after))).Msg("agent follows another home")
 		a.signalEvents() // the former leader learns that its starts are refused
 	}
--- a/site/entry_declined.go
+++ b/site/entry_declined.go
@@ -95,7 +95,7 @@
 // holds mu.
 func (h *home) isNew(args *RunArgs) bool {
 	_, former := h.formerJobs[args.Job.ID]
-	return !former && args.FirstRun == 0 && args.Home == "" && !h.core.HasHad(args.Job.ID)
+	return !former && args.FirstRun == 0 && args.Home == "" && !h.core.MayHaveRun(args.Job.ID)
 }
 
 // handOnDelay is how much shorter the wait at the second candidate must be for the first one to reject
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -55,6 +55,7 @@
 	e.mu.Lock()
 	now := e.now()
 	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
+	args.HighestTerm = e.roster.HighestTerm()
 	args.Sum, args.Stamp, args.Echo = panelHash(args.Panel), toStamp(now), e.stamps[to].stamp
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
@@ -84,6 +85,7 @@
 func (e *Entry) takeGreeting(sentAt time.Time, g *GreetReply) {
 	e.mu.Lock()
 	e.roster.RecordContact(e.now(), g.Member)
+	e.roster.RecordTerm(g.HighestTerm)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
 		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, receivedAt: e.now()}
--- a/site/home.go
+++ b/site/home.go
@@ -39,9 +39,9 @@
 	withdrawnCalls map[entryCall]time.Time
 	formerJobs     map[string]formerJob // by ID
 	formerAskedAt  map[string]time.Time // by address of a former home
-	formerHomes    map[string]bool      // by incarnation of a former home: its open jobs are known
+	listedHomes    map[string]uint64    // by incarnation of a former home that has listed its jobs and may go on with them: its last term
 	wasAlone       bool                 // it was the only home of the site then
-	term           uint64               // in which it was the only home last
+	term           uint64               // in which it was the only home last; 0 if it was not
 	lastClaim      uint64               // number of the last claim to any agent
 	hasListed      bool                 // the open jobs were listed to a later home
 	// lastOrder is the number of the last order to any agent. It never restarts while
@@ -150,7 +150,8 @@
 	}
 	delete(h.declinedUntil, args.Job.ID)
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
-	args.FirstRun = max(args.FirstRun, h.claimFormer(args.Job.ID))
+	claimed := h.claimFormer(args.Job.ID)
+	args.FirstRun = max(args.FirstRun, claimed)
 	if args.FirstRun > 0 {
 		h.takeOver(args)
 	} else {
@@ -160,7 +161,13 @@
 	h.mu.Unlock()
 	select {
 	case out = <-w.done:
-		return out, out.State == movedJob
+		switch {
+		case out.State == movedJob:
+			return work.Outcome{}, true
+		case claimed > 0 && out.State == work.Rejected:
+			out = work.Outcome{State: work.Unknown, Reason: "ran at a former home; now " + out.Reason}
+		}
+		return out, false
 	case <-ctx.Done():
 		h.removeWaiters(args.Job.ID, func(o *waiter) bool { return o == w })
 		return work.Outcome{State: work.Unknown, Reason: waitEndReason(ctx)}, false
--- a/site/home_former.go
+++ b/site/home_former.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"masticbay/roster"
@@ -23,9 +24,10 @@
 	Jobs map[string]int // by ID: above which number the runs are numbered
 	// Places is set if the receiver is home; it lists nothing then.
 	Places bool
-	// Term is that in which the receiver was home last, if all runs of the homes before it are among
-	// those of Jobs; else 0.
-	Term uint64
+	// Term is that in which the receiver was the only home last; 0 if it was not. AllRuns is set if all
+	// runs of the homes before it are of Jobs.
+	Term    uint64
+	AllRuns bool
 }
 
 // ReleaseArgs withdraws a job for all that wait for it, as its caller has submitted it again
@@ -46,10 +48,7 @@
 		return nil
 	}
 	h.hasListed = true // from now on, it takes no job that is not listed
-	reply.Jobs = h.core.OpenJobs()
-	if h.core.ListsAllRuns() {
-		reply.Term = h.term
-	}
+	reply.Jobs, reply.Term, reply.AllRuns = h.core.OpenJobs(), h.term, h.core.ListsAllRuns()
 	return nil
 }
 
@@ -64,11 +63,11 @@
 	return nil
 }
 
-// formerJob is a job that is open at a former home.
+// formerJob is a job that is open at former homes.
 type formerJob struct {
-	address string
-	base    int       // above which its runs are numbered there
-	until   time.Time // when it is forgotten
+	homes []roster.Member
+	base  int       // above which its runs are numbered there
+	until time.Time // when it is forgotten
 }
 
 // maxFormerRuns bounds the runs of a task at a former home. It is lower than runNumberStride, as the
@@ -102,8 +101,8 @@
 	return true
 }
 
-// fetchOpenJobs asks a former home for its open jobs, and reports whether it has listed them and for
-// the homes before which term they stand as well.
+// fetchOpenJobs asks a former home for its open jobs. It reports whether it has listed them, and the term
+// up to which the list stands for all homes; 0 if it does not.
 func (e *Entry) fetchOpenJobs(m roster.Member) (listed bool, term uint64) {
 	ctx, cancel := context.WithTimeout(e.ending, greetAnswerTimeout)
 	defer cancel()
@@ -122,7 +121,10 @@
 			return false, 0
 		}
 	}
-	e.home.allowFormerHome(m.Life)
+	e.home.allowFormerHome(m.Life, rep.Term)
+	if !rep.AllRuns {
+		return true, 0
+	}
 	return true, rep.Term
 }
 
@@ -136,7 +138,10 @@
 	}
 	until := h.e.now().Add(peerRetention)
 	for id, base := range jobs {
-		h.formerJobs[id] = formerJob{m.Address, base, until}
+		f := h.formerJobs[id]
+		f.homes = append(slices.DeleteFunc(f.homes, func(o roster.Member) bool { return o.Life == m.Life }), m)
+		f.base, f.until = max(f.base, base), until
+		h.formerJobs[id] = f
 		known, isOpen := h.core.HasJob(id)
 		if known {
 			both = append(both, id)
@@ -150,13 +155,13 @@
 }
 
 // allowFormerHome lets a former home go on with its jobs.
-func (h *home) allowFormerHome(life string) {
+func (h *home) allowFormerHome(life string, term uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.formerHomes == nil {
-		h.formerHomes = make(map[string]bool)
+	if h.listedHomes == nil {
+		h.listedHomes = make(map[string]uint64)
 	}
-	h.formerHomes[life] = true
+	h.listedHomes[life] = term
 }
 
 // claimFormer returns the number up to which a former home may have numbered the runs of a job
@@ -167,21 +172,31 @@
 		return 0
 	}
 	delete(h.formerJobs, id)
-	h.log.Info().Str("job", id).Str("from", former.address).Msg("job claimed from a former home")
-	go h.e.releaseAt(former.address, id)
+	for _, m := range former.homes {
+		h.log.Info().Str("job", id).Str("from", m.Address).Msg("job claimed from a former home")
+		term, isListed := h.listedHomes[m.Life]
+		delete(h.listedHomes, m.Life) // until it has released the job
+		go func() {
+			if h.e.releaseAt(m.Address, id) && isListed {
+				h.allowFormerHome(m.Life, term)
+			}
+		}()
+	}
 	return former.base + maxFormerRuns
 }
 
-// releaseAt has a former home withdraw a job, which ends its runs sooner than the seals do.
-func (e *Entry) releaseAt(address, id string) {
+// releaseAt has a former home withdraw a job, which ends its runs sooner than the seals do, and reports
+// whether it has.
+func (e *Entry) releaseAt(address, id string) bool {
 	for n := 0; n < maxWithdrawals && e.ending.Err() == nil; n++ {
 		err := e.releaseOnce(address, id)
 		if err == nil {
-			return
+			return true
 		}
 		e.requestLog.Info().Err(err).Str("job", id).Str("from", address).Int("attempt", n+1).Msg("job not released")
 		sleep(e.ending, withdrawalInterval)
 	}
+	return false
 }
 
 func (e *Entry) releaseOnce(address, id string) error {
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -26,13 +26,15 @@
 	wasAlone := h.wasAlone
 	h.wasHome, h.wasAlone = isHome, isAlone
 	switch {
-	case isAlone && !wasAlone:
+	case isAlone && (!wasAlone || homes[0].Term != h.term):
 		h.beginTerm(now, homes[0].Term)
 	case !isAlone && wasAlone:
-		if !isHome {
+		if isHome {
+			h.core.ShareAgents(now)
+		} else {
 			h.giveJobsBack(now)
+			h.core.EndTerm()
 		}
-		h.core.EndTerm(now, isHome)
 		h.deliverDecisions()
 	}
 	return isHome
@@ -51,21 +53,22 @@
 	}
 }
 
-// movedJob is the state of a job that a home gives back to its entry. It does not leave the home.
+// movedJob is the state of a job that a home gives back to its entry. It does not leave home.run.
 const movedJob work.State = "moved"
 
 // beginTerm begins a term in which this entry is the only home. The caller holds mu.
 func (h *home) beginTerm(now time.Time, term uint64) {
-	clear(h.formerHomes)
+	clear(h.listedHomes)
 	h.term = term
-	former, agentsOfFormer := h.e.formerHomes(now)
+	former, agentsOfFormer := h.e.homesToAsk(now)
 	lives := make([]string, len(former))
 	for i, m := range former {
 		lives[i] = m.Life
 		go h.awaitFormerHome(m)
 	}
 	agents, complete, _ := h.e.agentsSeen(now, agentsOfFormer)
-	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); !complete && (len(agents) < most || agentsOfFormer > 0 && !isKnown) {
+	// Others know of more agents, or nobody does who could tell.
+	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); !complete && (len(agents) < most || agentsOfFormer > 0 && !isKnown || h.e.isIsolated()) {
 		agents = append(agents, schedule.UnknownAgent)
 	}
 	h.core.BeginTerm(now, agents, lives, now.Add(formerRunsEndAfter))
@@ -79,13 +82,18 @@
 	if !h.core.AwaitsUnknownAgent() {
 		return
 	}
-	_, agentsOfFormer := h.e.formerHomes(now)
+	_, agentsOfFormer := h.e.homesToAsk(now)
 	agents, _, _ := h.e.agentsSeen(now, 0)
 	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); isKnown && len(agents) >= most {
 		h.core.AgentsKnown(now, agents)
 	}
 }
 
+// isIsolated reports whether this entry knows others and is in contact with none.
+func (e *Entry) isIsolated() bool {
+	return len(e.entriesInContact()) == 0 && slices.ContainsFunc(e.knownEntries.all(), func(a string) bool { return a != e.node.Internal })
+}
+
 // agentsOfOthers returns the largest number of agents that a lost home was in contact with, or another
 // entry is. It is known if such an entry has been running for a while.
 func (e *Entry) agentsOfOthers(now time.Time, ofLostHome int) (most int, isKnown bool) {
@@ -98,9 +106,9 @@
 	return most, isKnown
 }
 
-// formerHomes returns the entries in contact that are or were home beside or before this one, and the
+// homesToAsk returns the entries in contact that are or were home beside or before this one, and the
 // largest number of agents that a lost home was in contact with.
-func (e *Entry) formerHomes(now time.Time) (former []roster.Member, agents int) {
+func (e *Entry) homesToAsk(now time.Time) (former []roster.Member, agents int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, m := range e.roster.InContact(now) {
@@ -135,11 +143,14 @@
 	h.lastClaim++
 	c.Seq, c.Reach = h.lastClaim, 1+len(inContact)
 	for _, m := range inContact {
-		if h.formerHomes[m.Life] && m.Term == 0 && !m.Places {
-			c.Former = append(c.Former, m.Life)
+		if term, ok := h.listedHomes[m.Life]; ok && m.Term == 0 && !m.Places {
+			if c.Former == nil {
+				c.Former = make(map[string]uint64)
+			}
+			c.Former[m.Life] = term
 		}
 	}
-	c.Listed = h.core.HasRunList(agent)
+	c.Listed = !h.core.AwaitsAgent(agent)
 	return c
 }
 
--- a/site/messages.go
+++ b/site/messages.go
@@ -68,7 +68,7 @@
 	Seq    uint64 // rises with each claim of the sender's incarnation
 	Term   uint64 // 0 if the sender is not home
 	Reach  int
-	Former []string
+	Former map[string]uint64 // by incarnation: last term
 	Shared bool
 	// Listed is set if the home has the agent's list of the runs of others. Otherwise a reply that holds
 	// it is sent at once.
@@ -117,7 +117,8 @@
 	// StartRate is the number of tasks that the sender starts each second, if it is home.
 	StartRate float64
 	// Evacuation identifies the sender's set of evacuated data centres.
-	Evacuation evacuation.Mark
+	Evacuation  evacuation.Mark
+	HighestTerm uint64 // of any home that the sender knows
 	// Interference lists the pairs of kinds of task that slow each other down, at most
 	// maxSentPairs, if the sender is home.
 	Interference []interference.Pair
--- a/worker/claim.go
+++ b/worker/claim.go
@@ -1,9 +1,6 @@
 package worker
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Two entries may act as home at the same time, and neither knows which tasks the other one
 // starts. So an agent follows one home at a time: it takes the starts of that home only, and
@@ -17,9 +14,9 @@
 	Term uint64 // of the home; 0 for none
 	// Reach is the number of entries that the home is in contact with, itself included.
 	Reach int
-	// Former are homes that have given their role away. They may go on with their jobs, which the
-	// claiming home knows.
-	Former []string
+	// Former holds homes that have given their role away, and the last term of each. They may go on with
+	// their jobs, which the claiming home knows.
+	Former map[string]uint64
 	// Shared is set by the homes of a site of several cells, whose agents follow none of them.
 	Shared bool
 }
@@ -38,12 +35,22 @@
 	return c.Home < o.Home
 }
 
+// knowsEndOf reports whether the home of c knows that the home of o has given its role away since o.
+func (c *Claim) knowsEndOf(o *Claim) bool {
+	term, ok := c.Former[o.Home]
+	return ok && term >= o.Term
+}
+
 // Claim applies the claim of a home. It must be recent: an earlier one may have been overruled.
 func (g *Guard) Claim(now time.Time, c Claim) {
 	leader := &g.leader
-	switch {
-	case c.Term == 0:
+	if c.Term == 0 {
 		return
+	}
+	if s := g.homeState(c.Home); c.Term > s.claimed {
+		s.claimed = c.Term
+	}
+	switch {
 	case c.Shared:
 		if c.Term >= leader.Term {
 			g.leader = Claim{Term: c.Term}
@@ -53,10 +60,8 @@
 		if c.Seq <= leader.Seq {
 			return
 		}
-	case slices.Contains(c.Former, leader.Home) && c.Term >= leader.Term, g.leaderOutOfContact(now), c.outranks(leader):
+	case c.knowsEndOf(leader), g.leaderOutOfContact(now), c.outranks(leader):
 	default:
-		// A home that claims its agents again has begun another term, of which the leader knows nothing.
-		leader.Former = slices.DeleteFunc(slices.Clone(leader.Former), func(home string) bool { return home == c.Home })
 		return
 	}
 	g.leader = c
@@ -72,7 +77,13 @@
 // TakesStartsOf reports whether a home may start tasks here, as this agent follows it, none, or
 // the one to which it has given its role away.
 func (g *Guard) TakesStartsOf(home string) bool {
-	return g.leader.Home == "" || g.leader.Home == home || slices.Contains(g.leader.Former, home)
+	if g.leader.Home == "" || g.leader.Home == home {
+		return true
+	}
+	term, isFormer := g.leader.Former[home]
+	s, ok := g.homes[home]
+	// A home that has begun another term may have jobs of which the leader knows nothing.
+	return isFormer && !(ok && s.claimed > term)
 }
 
 // Leader returns the home that this agent follows; empty if there is none.
--- a/worker/claim_test.go
+++ b/worker/claim_test.go
@@ -32,7 +32,8 @@
 		{"same term", worker.Claim{Home: "e2", Term: 3, Reach: 2}, worker.Claim{Home: "e1", Term: 3, Reach: 2}, "e1"},
 		{"higher term of a home without contact to others", worker.Claim{Home: "e1", Term: 3, Reach: 4}, worker.Claim{Home: "e2", Term: 4, Reach: 1}, "e1"},
 		{"lower term, the other home has lost its contacts", worker.Claim{Home: "e1", Term: 4, Reach: 1}, worker.Claim{Home: "e2", Term: 3, Reach: 3}, "e2"},
-		{"former home named, earlier term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 3, Reach: 3, Former: []string{"e1"}}, "e1"},
+		{"former home named, earlier term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 3, Reach: 3, Former: map[string]uint64{"e1": 3}}, "e1"},
+		{"former home named, lower term of a home that has restarted", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 1, Reach: 3, Former: map[string]uint64{"e1": 4}}, "e2"},
 		{"no term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2"}, "e1"},
 		{"cells", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 4, Shared: true}, ""},
 	} {
@@ -69,11 +70,11 @@
 	if e := d.lastEvent(work.Refused); e.Reason != worker.OtherHome {
 		t.Errorf("refused with reason %q", e.Reason)
 	}
-	d.claim(worker.Claim{Home: "e2", Seq: 2, Term: 2, Reach: 2, Former: []string{"e1"}})
+	d.claim(worker.Claim{Home: "e2", Seq: 2, Term: 2, Reach: 2, Former: map[string]uint64{"e1": 1}})
 	if n := len(d.order(start(1, 2, 10))); n != 1 {
 		t.Error("a start of the former home was refused, although its jobs are known")
 	}
-	d.claim(worker.Claim{Home: "e1", Seq: 2, Term: 1, Reach: 2})
+	d.claim(worker.Claim{Home: "e1", Seq: 2, Term: 3})
 	if n := len(d.order(start(2, 1, 10))); n != 0 {
 		t.Error("a start of the former home was sent after it began another term")
 	}
@@ -84,7 +85,7 @@
 func TestOvertakenClaimNamesAFormerHome(t *testing.T) {
 	d := newDriver(t)
 	d.claim(worker.Claim{Home: "e2", Seq: 2, Term: 2, Reach: 2})
-	d.claim(worker.Claim{Home: "e2", Seq: 1, Term: 2, Reach: 2, Former: []string{"e1"}})
+	d.claim(worker.Claim{Home: "e2", Seq: 1, Term: 2, Reach: 2, Former: map[string]uint64{"e1": 1}})
 	if d.g.TakesStartsOf("e1") {
 		t.Error("the agent takes starts of a home that the later claim does not name")
 	}
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -23,6 +23,7 @@
 type homeState struct {
 	lastContact time.Time // latest time of the agent's clock that the entry has echoed
 	events      []Event
+	claimed     uint64 // highest term of its claims
 }
 
 // RecordContact records contact with an entry: the entry has echoed a time of the agent's clock.
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -197,6 +197,7 @@
 
 // PollFailed records that the worker did not answer a poll.
 func (g *Guard) PollFailed(now time.Time) {
+	g.noListener = false
 	g.outOfContact = now.Sub(g.lastPoll) > g.cfg.WorkerContactTimeout
 	g.expireRuns(now)
 }
