--- a/site/home.go
+++ b/site/home.go
@@ -137,8 +137,7 @@
 		return out, true
 	}
 	known, _ := h.core.HasJob(args.Job.ID)
-	isHome := h.updateRole()
-	if isHome && !known && !h.mayTake(args) || !isHome && (args.Home == "" || h.hasListed && !known) {
+	if !h.takes(args, known) {
 		h.mu.Unlock()
 		return out, true
 	}
@@ -174,6 +173,17 @@
 	}
 }
 
+// takes reports whether this home takes a job, which it may have already. The caller holds mu.
+func (h *home) takes(args *RunArgs, known bool) bool {
+	switch isHome := h.updateRole(); {
+	case isHome:
+		return known || h.mayTake(args)
+	case args.Home == "":
+		return false
+	}
+	return known || !h.hasListed
+}
+
 // withdraw withdraws a job for an entry whose caller no longer waits for it. The call that
 // hands the job over may arrive later, and is not taken then.
 func (h *home) withdraw(entry entrySession, id string, call uint64) {
