--- a/site/site.go
+++ b/site/site.go
@@ -117,7 +117,7 @@
 	// or has withdrawn them.
 	formerRunsEndAfter = withdrawnRunsStopAfter + renewContactAge + leaseEndsAfter + 40*time.Millisecond
 	lostHomeWait       = 1250 * time.Millisecond                                    // for another home
-	sealRetention      = withdrawnRunsStopAfter + orderMaxAge + 80*time.Millisecond // a lost home places no run after it, and callers have not submitted again
+	sealRetention      = withdrawnRunsStopAfter + orderMaxAge + 80*time.Millisecond // a lost home places no run after it
 	maxSealingAgents   = 64
 	lostAgentRetention = 30 * time.Second // agents out of contact for longer have no runs
 )
