Forget the run times of workers that had no run for long

Cause, from plays of a copy that logs what the core knows of each worker: the workers of the evacuated data centre kept a mean of 0.42 to 0.59 of the expected run time, learned from the last runs before (which were divided by a slowdown that did not apply to all of each run), the others had 0.9 to 1.6. A task goes to the slowest worker that is in time, so the idle ones got none, and nothing corrects a mean without runs.

What a worker has shown is forgotten after 10 s without the end of a run if another worker of its kind has shown something since. It counts like its kind then, and the one with more free CPU is chosen.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -348,7 +348,7 @@
 func (c *Core) Tick(now time.Time) {
 	if now.Sub(c.lastKindUpdate) > kindUpdateInterval {
 		c.lastKindUpdate = now
-		c.updateKindSlowness()
+		c.updateKindSlowness(now)
 		c.expireRacks(now)
 		c.explainWaits(now)
 		c.notePairs(c.pairs.Expire(now))
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -90,6 +90,7 @@
 		t.slowdown = 1
 		t.cold.logRatio, t.cold.ratio = movingMean{}, 1
 		t.logSlowness = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}
+		t.slownessAt = now
 		c.recordIncarnation(now, t, &r.Target)
 		t.updateSlowness()
 	}
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -43,11 +43,19 @@
 }
 
 // updateKindSlowness computes the mean slowness of each kind and applies it to the
-// workers of the kind.
-func (c *Core) updateKindSlowness() {
+// workers of the kind. What the runs of long ago told about a worker is forgotten as soon as
+// another worker of its kind tells something newer.
+func (c *Core) updateKindSlowness(now time.Time) {
 	sum, n := make(map[string]float64), make(map[string]float64)
+	measured := make(map[string]bool)
+	for _, t := range c.targets {
+		measured[t.kind()] = measured[t.kind()] || now.Sub(t.slownessAt) <= slownessRetention
+	}
 	for _, name := range c.agentNames {
 		t := c.targets[name]
+		if measured[t.kind()] && now.Sub(t.slownessAt) > slownessRetention {
+			t.logSlowness = movingMean{}
+		}
 		weight := float64(min(t.logSlowness.n, kindWeight))
 		sum[t.kind()] += weight * t.logSlowness.value
 		n[t.kind()] += weight
@@ -58,6 +66,9 @@
 	}
 }
 
+// slownessRetention is how long a worker without ends of runs counts as measured.
+const slownessRetention = 10 * time.Second
+
 // kindUpdateInterval is the interval between updates of the means of kinds.
 const kindUpdateInterval = 100 * time.Millisecond
 
@@ -81,6 +92,7 @@
 		b.ratios.add(math.Exp(ratio-b.value) * t.slowdown / j.tasks[slot][index].slowdown / t.baseSlowness)
 	}
 	t.logSlowness.add(t.logSlowness.bound(ratio-b.value), slownessWindow)
+	t.slownessAt = now
 	t.updateSlowness()
 	b.add(b.bound(ratio-t.logSlowness.value), biasWindow)
 	b.runTimeFactor = math.Exp(b.value)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -30,6 +30,7 @@
 	baseSlowness   float64    // computed from logSlowness and kindSlowness
 	kindSlowness   float64    // mean of logSlowness over the workers of its kind
 	logSlowness    movingMean // mean log of run time over expected time on a worker of slowness 1
+	slownessAt     time.Time  // when logSlowness was last updated
 	slowdown       float64    // temporary factor on baseSlowness; 1 if the worker is not slow
 	lastSlow       time.Time  // when slowdown was last observed
 	suspectUntil   time.Time  // until then slow runs of several jobs were reported
