Number the runs of a job on when it is submitted again

Its home had numbered the runs of the job from 1001, as the home before it was lost, and began at 1 again after each answer without a result. Workers refuse a number that they have seen, so each submission began with up to 1,000 refused starts, one after the other.

The home remembers the highest number with the job that it answered without a result, and numbers on. The list of open jobs for the next home names that number as well, so that its own runs get higher ones.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -175,7 +175,7 @@
 	values["retryMs"], values["cutoffMs"] = ms(retry), ms(j.cutoff.Sub(now))
 	c.addNote(Note{Job: j.ID, Kind: "rejected", Reason: reason, Values: values})
 	out := work.Outcome{State: work.Rejected, Reason: reason, RetryAfter: retry}
-	if j.mayHaveRun || c.sentJobs[j.ID] {
+	if j.mayHaveRun || c.wasSent(j.ID) {
 		out = work.Outcome{State: work.Unknown, Reason: "ran before its caller was lost; now " + reason}
 	}
 	c.close(j, out)
--- a/schedule/again.go
+++ b/schedule/again.go
@@ -58,7 +58,7 @@
 		reason = "it was withdrawn, and its runs have not ended"
 	case open:
 		reason = "it is in progress"
-	case c.sentJobs[id]:
+	case c.wasSent(id):
 		reason = "it was answered without a result"
 	case runNumberBase > 0:
 		reason = "its former home is lost"
--- a/schedule/answer.go
+++ b/schedule/answer.go
@@ -61,19 +61,29 @@
 // MayHaveRun reports whether the outcome of a job is remembered, or that a task of it may have run.
 func (c *Core) MayHaveRun(id string) bool {
 	_, ok := c.outcomes[id]
-	return ok || c.sentJobs[id]
+	return ok || c.wasSent(id)
+}
+
+// wasSent reports whether a job was answered without a result after a task of it was sent.
+func (c *Core) wasSent(id string) bool {
+	_, ok := c.sentJobs[id]
+	return ok
 }
 
 // rememberSent records that a task of a job may have run, so that the job is not
-// reported as not run when its caller submits it again.
+// reported as not run when its caller submits it again, and that its runs are numbered on.
 func (c *Core) rememberSent(j *job) {
-	if !j.wasSent || c.sentJobs[j.ID] {
+	if !j.wasSent {
+		return
+	}
+	wasRemembered := c.wasSent(j.ID)
+	c.sentJobs[j.ID] = max(c.sentJobs[j.ID], j.highestRun())
+	if wasRemembered {
 		return
 	}
 	if len(c.sentOrder) >= c.cfg.MaxRemembered {
 		delete(c.sentJobs, c.sentOrder[0])
 		c.sentOrder = c.sentOrder[1:]
 	}
-	c.sentJobs[j.ID] = true
 	c.sentOrder = append(c.sentOrder, j.ID)
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -86,7 +86,7 @@
 	queued         int    // pending tasks of all jobs
 	outcomes       map[string]work.Outcome
 	outcomeOrder   []string               // keys of outcomes, oldest first
-	sentJobs       map[string]bool        // jobs that were answered without a result after a task of them was sent
+	sentJobs       map[string]int         // jobs that were answered without a result after a task of them was sent: highest number of a run
 	sentOrder      []string               // keys of sentJobs, oldest first
 	biases         map[string]*bias       // by queue
 	cold           map[string]coldFigures // by service
@@ -115,7 +115,7 @@
 func NewCore(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, targets: make(map[string]*target), jobs: make(map[string]*job),
-		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]bool), biases: make(map[string]*bias), ejection: ejection.NewTracker(), cold: make(map[string]coldFigures),
+		outcomes: make(map[string]work.Outcome), sentJobs: make(map[string]int), biases: make(map[string]*bias), ejection: ejection.NewTracker(), cold: make(map[string]coldFigures),
 		demand: make(map[string]*serviceDemand),
 		pairs:  interference.NewDetector(),
 	}
@@ -193,7 +193,7 @@
 	}
 	for id, j := range c.jobs {
 		if !j.Stored {
-			open[id] = max(open[id], j.runNumberBase)
+			open[id] = max(open[id], j.runNumberBase, j.highestRun())
 		}
 	}
 	return open
@@ -256,6 +256,7 @@
 	}
 	c.learnCold(now, &w.Queue)
 	j := newJob(now, w, runNumberBase)
+	j.numberRunsFrom(c.sentJobs[w.ID])
 	j.cutoff = c.cutoff(j)
 	if end := now.Add(w.Left); end.Before(j.cutoff) {
 		j.cutoff = end
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -113,6 +113,25 @@
 // task returns the task of a run.
 func (j *job) task(r work.Run) *task { return &j.tasks[j.Slot(r.Task)][r.Task.Index] }
 
+// numberRunsFrom has the runs of all tasks numbered above n. Workers refuse a number that they have seen.
+func (j *job) numberRunsFrom(n int) {
+	for _, tasks := range j.tasks {
+		for k := range tasks {
+			tasks[k].runNumber = max(tasks[k].runNumber, n)
+		}
+	}
+}
+
+// highestRun returns the highest number of a run of the job.
+func (j *job) highestRun() (n int) {
+	for _, tasks := range j.tasks {
+		for k := range tasks {
+			n = max(n, tasks[k].runNumber)
+		}
+	}
+	return n
+}
+
 // nextRun returns the number of the next run of a task.
 func (j *job) nextRun(slot, index int) int {
 	return max(j.tasks[slot][index].runNumber, j.runNumberBase) + 1
--- a/schedule/job_test.go
+++ b/schedule/job_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"masticbay/schedule"
 	"masticbay/work"
 )
 
@@ -90,3 +91,25 @@
 	h.submit(late)
 	h.wantOutcome("j", work.Unknown)
 }
+
+// TestRunsOfAJobSubmittedAgainAreRefused guards against starts that workers refuse because an earlier run
+// of the task, before the job was answered without a result, had the same number or a higher one.
+func TestRunsOfAJobSubmittedAgainAreRefused(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.c.TakeOver(h.now, job("j", 0, 1, 900*time.Millisecond), schedule.Handover{RunNumberBase: 1000, Complete: true, RunsEndAt: h.now.Add(time.Second)})
+	h.collect()
+	for _, seal := range h.seals["a"] {
+		h.report("a", schedule.Event{Run: work.Run{Task: work.TaskRef{Job: seal.Job}, Number: seal.UpTo}, End: work.Sealed})
+	}
+	for n := range 3 {
+		h.wantStarts("a", n+1)
+		if got, want := h.starts["a"][n].Number, 1001+n; got != want {
+			t.Errorf("submission %d: run %d, want %d", n, got, want)
+		}
+		h.c.Withdraw(h.now, "j")
+		h.collect()
+		h.endRun("a", h.starts["a"][n], work.Stopped, time.Millisecond)
+		h.submit(job("j", 0, 1, 900*time.Millisecond))
+	}
+}
