Don't refuse a peer while earlier connections are being closed

A connection beyond the limit of a part takes the place of the one that has held most for longest. At most 64 may be on their way out at a time; the next client was refused, although those close within moments and the client had done nothing to deserve it.

A new connection waits up to 200 ms for one of them, as charges do.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -59,6 +59,9 @@
 // Connections returns the number of open accounts.
 func (b *Budget) Connections() int { return len(b.accounts) }
 
+// Closing returns the number of accounts that are being closed for others.
+func (b *Budget) Closing() int { return b.closing }
+
 // largeCharge is the size from which a charge leaves a quarter of the budget to smaller ones,
 // so that a few large requests which are being carried out don't shut out ordinary ones.
 const largeCharge = 64 << 10
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -65,7 +65,7 @@
 	reportEvery   = 4
 )
 
-// grantWait bounds how long a charge waits for connections that are being closed for it.
+// grantWait bounds how long a charge or a new connection waits for connections that are being closed.
 const grantWait = 200 * time.Millisecond
 
 // NewGate returns a Gate with the shares of a machine and starts to look for overdue
@@ -195,22 +195,32 @@
 	}
 }
 
-// open returns an account for a connection that make returns, or nil after closing c.
+// open returns an account for a connection, or nil after closing c. While earlier connections are
+// being closed it waits up to grantWait for one of them, as the client may well complete its requests.
 func (p *Part) open(c io.Closer, owner func(*Account) aborter) (a *Account) {
-	p.mu.Lock()
-	a, victims := p.budget.Open(p.now())
-	if a == nil {
-		p.refused[CauseConnections]++
-	} else {
-		p.owners[a] = owner(a)
-	}
-	owners := p.evictedOwners(victims)
-	p.mu.Unlock()
-	abortAll(owners)
-	if a == nil {
-		_ = c.Close()
+	timeout := time.After(grantWait)
+	for {
+		p.mu.Lock()
+		a, victims := p.budget.Open(p.now())
+		freed, mayFit := p.freed, a == nil && p.budget.Closing() > 0
+		if a != nil {
+			p.owners[a] = owner(a)
+		}
+		if mayFit {
+			p.waiters++
+		}
+		owners := p.evictedOwners(victims)
+		p.mu.Unlock()
+		abortAll(owners)
+		if a != nil {
+			return a
+		}
+		if !mayFit || !p.awaitFreed(freed, timeout) {
+			p.count(CauseConnections)
+			_ = c.Close()
+			return nil
+		}
 	}
-	return a
 }
 
 // evictedOwners returns the connections of accounts that are closed in favour of others, and
@@ -249,21 +259,26 @@
 		if timeout == nil {
 			timeout = time.After(grantWait)
 		}
-		inTime := true
-		select {
-		case <-freed:
-		case <-timeout:
-			inTime = false
-		}
-		p.mu.Lock()
-		p.waiters--
-		p.mu.Unlock()
-		if !inTime {
+		if !p.awaitFreed(freed, timeout) {
 			return false
 		}
 	}
 }
 
+// awaitFreed waits until an account has been given back, and reports whether that was before the
+// timeout. The caller has counted itself in waiters.
+func (p *Part) awaitFreed(freed <-chan struct{}, timeout <-chan time.Time) (inTime bool) {
+	select {
+	case <-freed:
+		inTime = true
+	case <-timeout:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiters--
+	return inTime
+}
+
 // update changes an account and gives back what f returns.
 func (p *Part) update(a *Account, f func(now time.Time) (giveBack int64)) {
 	p.mu.Lock()
