Wait for a ready entry before the long task is submitted

The answer is right, nothing was started, and a caller would submit again; the test took an agent that is listed for the sign that jobs run.

The test now waits until the status page says that the entry is ready as well. What it checks of the stop is unchanged.

--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -97,7 +97,7 @@
 // which is longer than the HTTP library alone lets a shutdown take.
 func TestStopWaitsForLongTasks(t *testing.T) {
 	s := newSite(t, 1, 1, "30s")
-	s.await(0, "the agent", listed(1))
+	s.await(0, "the agent, and to be ready", func(st entry.StatusReply) bool { return listed(1)(st) && st.Ready })
 	w := &workload{site: s, prefix: "long", callers: 1}
 	var wg sync.WaitGroup
 	wg.Go(func() { w.submitLong(10_000) })
