--- a/schedule/report.go
+++ b/schedule/report.go
@@ -87,12 +87,8 @@
 		c.requireSeals(agent)
 	}
 	if t.Born != r.Target.Born {
-		t.slowdown = 1
-		t.cold.logRatio, t.cold.ratio = movingMean{}, 1
-		t.logSlowness = movingMean{n: min(r.Pace.Runs, slownessWindow), value: r.Pace.Log}
-		t.slownessAt = now
 		c.recordIncarnation(now, t, &r.Target)
-		t.updateSlowness()
+		t.resetSlowness(now, r.Pace)
 	}
 	changed := c.takeRunList(now, t, r)
 	changed = changed || r.Ready != t.ready || r.Target.Born != t.Born || r.Others != t.usedByOthers || r.Evacuated != t.saysEvacuated || now.Sub(t.lastContact) > c.cfg.SuspectAfter
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -34,6 +34,14 @@
 	t.baseSlowness = math.Exp(t.logSlowness.value*weight + t.kindSlowness*(1-weight))
 }
 
+// resetSlowness begins anew with what the agent has measured of a new incarnation of its worker.
+func (t *target) resetSlowness(now time.Time, p Pace) {
+	t.slowdown = 1
+	t.cold.logRatio, t.cold.ratio = movingMean{}, 1
+	t.logSlowness, t.slownessAt = movingMean{n: min(p.Runs, slownessWindow), value: p.Log}, now
+	t.updateSlowness()
+}
+
 // kind returns the service and first label of a worker, which name its kind.
 func (t *target) kind() string {
 	if len(t.Labels) == 0 {
