Reject jobs at once while the agents follow another home

An entry that was cut off from the other entries, but not from its callers and the agents, took itself for home while the agents followed the other one. It kept its jobs until their objective, rejected them as "no worker of the service is in contact", which was not true, and stayed ready.

A home whose workers in contact all go on to follow another home, 0.6 s after they began to and after its term began, rejects jobs that were not sent with the reason "the workers follow another home", reports that it is not ready, and logs the change. In 0.6 s an agent has left a home that was lost and a claim has reached it. Stored jobs are accepted as before; they can wait.

The new test of package schedule covers the 0.6 s and the return of an agent.

What it costs callers that do not heed readiness: some of the jobs that were kept could run when the cut healed.

--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"masticbay/platform"
 	"masticbay/platform/standin"
 	"masticbay/work"
 )
@@ -195,6 +196,36 @@
 	})
 }
 
+// TestHomeThatIsPassedOverStaysReady guards against an entry that takes jobs and can start none: it is cut off
+// from the others, and the agents follow their home.
+func TestHomeThatIsPassedOverStaysReady(t *testing.T) {
+	runWithFleet(t, func(t *testing.T, s *fleet) {
+		home := s.home()
+		wantReady := func(want int) {
+			t.Helper()
+			client := &http.Client{Transport: &http.Transport{DialContext: s.dial("balancer"), DisableKeepAlives: true}}
+			reply, err := client.Get(fmt.Sprintf("http://r%d%s", home, platform.ReadyPath))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = reply.Body.Close()
+			if reply.StatusCode != want {
+				t.Errorf("ready: %d, want %d", reply.StatusCode, want)
+			}
+		}
+		wantReady(http.StatusOK)
+		s.cutHomeFromEntries(home, 4*time.Second)
+		time.Sleep(2 * time.Second)
+		wantReady(http.StatusServiceUnavailable)
+		submittedAt := time.Now()
+		if status := s.submitWithin(s.ctx, home, 8*time.Second); status != http.StatusServiceUnavailable || time.Since(submittedAt) > 50*time.Millisecond {
+			t.Errorf("answer %d after %v, want %d at once", status, time.Since(submittedAt), http.StatusServiceUnavailable)
+		}
+		time.Sleep(3 * time.Second)
+		wantReady(http.StatusOK)
+	})
+}
+
 // TestPartitionOverlapsResubmission guards against a double run: a home and the agents of a job are cut off from
 // the others, and the caller of the job submits it on the other side.
 func TestPartitionOverlapsResubmission(t *testing.T) {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -9,11 +9,12 @@
 
 // The reasons for which a job is rejected.
 const (
-	reasonNoWorkers = "no worker of the service is in contact"
-	reasonTooLate   = "it could not end in time"
-	reasonTooMany   = "too many tasks wait"
-	reasonTooLarge  = "no worker has the room that a task asks for"
-	reasonEvacuated = "all workers that could run it are in evacuated data centres"
+	reasonNoWorkers  = "no worker of the service is in contact"
+	reasonPassedOver = "the workers follow another home"
+	reasonTooLate    = "it could not end in time"
+	reasonTooMany    = "too many tasks wait"
+	reasonTooLarge   = "no worker has the room that a task asks for"
+	reasonEvacuated  = "all workers that could run it are in evacuated data centres"
 )
 
 // defaultRetry is the retry time when the waiting work gives no better figure.
@@ -27,6 +28,9 @@
 		return reasonEvacuated, defaultRetry
 	}
 	if capacity.speed == 0 && len(capacity.cold) == 0 {
+		if capacity.passedOver {
+			return reasonPassedOver, defaultRetry
+		}
 		return reasonNoWorkers, defaultRetry
 	}
 	if isNew && c.queued > c.cfg.MaxQueued {
@@ -64,6 +68,7 @@
 	maxCapacity work.Room // largest of each resource on any worker
 	minSlowness float64   // of the fastest worker
 	cold        []*target // usable workers that are cold; not in speed
+	passedOver  bool      // the workers follow another home
 	evacuated   int       // number of evacuated workers, which count for nothing else
 	others      int       // number of other workers that have not left
 }
@@ -101,6 +106,7 @@
 	if capacity.speed == 0 {
 		capacity.speed = ejected // the others are gone; see probeTargets
 	}
+	capacity.passedOver = capacity.speed == 0 && c.IsPassedOver(now)
 	return capacity
 }
 
--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -173,6 +173,27 @@
 	c.awaitRunListsOfAll(now)
 }
 
+// keepsToOther reports whether an agent goes on to follow another home, although this one claims it. An agent
+// leaves a home that was lost sooner.
+func (c *Core) keepsToOther(now time.Time, t *target) bool {
+	return c.hasTerm && t.followsOther() && min(now.Sub(t.followsSince), now.Sub(c.termBegunAt)) > 2*c.cfg.SuspectAfter
+}
+
+// IsPassedOver reports whether this home can start nothing, as all workers go on to follow another one.
+func (c *Core) IsPassedOver(now time.Time) bool {
+	n := 0
+	for _, t := range c.targets {
+		switch {
+		case !c.isServing(now, t):
+		case !c.keepsToOther(now, t):
+			return false
+		default:
+			n++
+		}
+	}
+	return n > 0
+}
+
 // AwaitsAgent reports whether an agent has to list its runs or to follow this home.
 func (c *Core) AwaitsAgent(agent string) bool {
 	_, ok := c.earlier.agents[agent]
@@ -268,11 +289,17 @@
 	if r.Overtaken {
 		return false
 	}
-	changed = t.followsOther != r.FollowsOther
+	changed = t.followsOther() != r.FollowsOther
 	if r.FollowsOther && c.hasTerm {
-		c.awaitReturn(now, t, !t.followsOther)
+		c.awaitReturn(now, t, !t.followsOther())
+	}
+	switch {
+	case !r.FollowsOther:
+		t.followsSince = time.Time{}
+	case changed:
+		t.followsSince = now
 	}
-	t.followsOther, t.runsOfOthers = r.FollowsOther, r.RunsOfOthers
+	t.runsOfOthers = r.RunsOfOthers
 	for _, s := range c.sealing {
 		if n, ok := t.runsOfOthers[s.job]; ok {
 			c.sealListed(now, s, t.agent, n)
--- a/schedule/earlier_test.go
+++ b/schedule/earlier_test.go
@@ -69,6 +69,43 @@
 	h.wantStarts("a", 1)
 }
 
+// TestHomeThatIsPassedOverKeepsJobs guards against a home whose agents follow another one, as it is cut off
+// from the other entries: it kept its jobs, and rejected them late as those of a service without workers.
+func TestHomeThatIsPassedOverKeepsJobs(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.addAgent("b", 1)
+	h.beginTerm(nil, "a", "b")
+	follow := func(span time.Duration, agents ...string) {
+		for end := h.now.Add(span); h.now.Before(end); h.now = h.now.Add(10 * time.Millisecond) {
+			for _, agent := range agents {
+				h.followOther(agent)
+			}
+			h.c.Tick(h.now)
+			h.collect()
+		}
+	}
+	h.submit(job("early", 0, 1, 4*time.Second))
+	follow(2*cfg.SuspectAfter, "a", "b")
+	if _, ok := h.outcomes["early"]; ok || h.c.IsPassedOver(h.now) {
+		t.Fatal("the home gave the agents up before they can have left a lost home")
+	}
+	follow(20*time.Millisecond, "a", "b")
+	h.submit(job("j", 0, 1, 100*time.Millisecond))
+	for _, id := range []string{"early", "j"} {
+		if out := h.outcomes[id]; out.State != work.Rejected || out.Reason != "the workers follow another home" {
+			t.Errorf("%s: %+v", id, out)
+		}
+	}
+	if !h.c.IsPassedOver(h.now) {
+		t.Error("not passed over")
+	}
+	h.list("a", nil)
+	if h.c.IsPassedOver(h.now) {
+		t.Error("passed over by an agent that follows")
+	}
+}
+
 // TestFormerHomeListsItsJobsFirst guards against a double run: a home begins its term beside one that
 // goes on with its jobs. The word of the former home stands for agents out of contact.
 func TestFormerHomeListsItsJobsFirst(t *testing.T) {
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -79,7 +79,7 @@
 // orderSeals asks an agent to seal the jobs for which it was not asked yet. The runs of a home that the
 // agent follows are left to that home.
 func (c *Core) orderSeals(agent string) {
-	if t, ok := c.targets[agent]; ok && t.followsOther {
+	if t, ok := c.targets[agent]; ok && t.followsOther() {
 		return
 	}
 	for _, s := range c.sealing {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -165,11 +165,16 @@
 // isUsable reports whether a worker is in contact, takes starts, is neither draining nor
 // evacuated, and belongs to this home.
 func (c *Core) isUsable(now time.Time, t *target) bool {
+	return c.isServing(now, t) && !t.followsOther()
+}
+
+// isServing is isUsable, whichever home the agent follows.
+func (c *Core) isServing(now time.Time, t *target) bool {
 	contactTimeout := max(c.cfg.SuspectAfter, c.cfg.SuspectIdleAfter)
 	if len(t.runs) > 0 {
 		contactTimeout = c.cfg.SuspectAfter
 	}
-	return t.ready && !t.excluded && !t.followsOther && !t.Draining && !c.isEvacuated(t) && now.Sub(t.lastContact) <= contactTimeout
+	return t.ready && !t.excluded && !t.Draining && !c.isEvacuated(t) && now.Sub(t.lastContact) <= contactTimeout
 }
 
 // maxFreeCPU returns the largest free CPU capacity of any worker. Under load
--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -83,7 +83,7 @@
 	if j.cutoff = c.cutoff(j); w.Lasts || w.Times > 0 {
 		j.cutoff = now.Add(noDeadline)
 	}
-	if reason, retry = c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason == reasonNoWorkers {
+	if reason, retry = c.rejectReason(now, j, c.serviceCapacity(now, w.Queue.Service), true); reason == reasonNoWorkers || reason == reasonPassedOver {
 		return "", 0 // it is stored and can wait
 	}
 	return reason, retry
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -17,7 +17,7 @@
 	ready          bool           // the agent takes starts
 	excluded       bool           // it belongs to another home
 	saysEvacuated  bool           // the agent refuses starts because its data centre is evacuated
-	followsOther   bool           // the agent refuses starts because it follows another home
+	followsSince   time.Time      // since when the agent refuses starts because it follows another home; zero if it does not
 	runsOfOthers   map[string]int // by job: highest number of a run that another home has ordered
 	used           work.Room      // by runs that this home placed
 	usedByOthers   work.Room      // by runs of other entries, as reported
@@ -43,6 +43,9 @@
 	knownSince     time.Time // first contact with this incarnation of the agent
 }
 
+// followsOther reports whether the agent follows another home.
+func (t *target) followsOther() bool { return !t.followsSince.IsZero() }
+
 func (t *target) free() work.Room { return t.Capacity.Sub(t.used).Sub(t.usedByOthers) }
 
 // sortedRuns returns the runs in a fixed order, so that decisions do not depend on
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -17,7 +17,7 @@
 
 // serveReady answers the probes of the load balancer.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.config.Load() == nil {
+	if e.leaving.Load() || e.config.Load() == nil || e.home.status.Load().passedOver {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -80,6 +80,7 @@
 	open       bool                // jobs that are not stored are open
 	startRate  float64             // tasks that this home starts each second
 	pairs      []interference.Pair // of kinds of task that slow each other down
+	passedOver bool                // this entry is home, and the workers follow another one
 }
 
 // waiter is an entry that waits for the outcome of a job.
@@ -293,7 +294,11 @@
 // publishStatus updates the status that is reported to other entries. The caller holds
 // mu.
 func (h *home) publishStatus(now time.Time) {
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), open: h.core.HasOpenJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs)})
+	passedOver := h.core.IsPassedOver(now)
+	if passedOver != h.status.Load().passedOver {
+		h.e.log.Warn().Bool("passedOver", passedOver).Msg("workers follow another home")
+	}
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), open: h.core.HasOpenJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs), passedOver: passedOver})
 }
 
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
