Ask the homes of the last set for their jobs when the homes change

On a site of several cells, callers whose jobs were open when a home came, stopped or was killed came back to two runs at the same time: the candidates of the job were others, and its new home had no memory of it (KNOWN-RED 27).

Cause: a home of a cell took a job that it did not know for a new one, and agents took starts of every home.

When the set of homes changes, each home asks the others of the last set for their open jobs. A present home lists them once it knows the same set, and goes by it from then on. A listed job is taken over. In place of a home that is lost, the agents list their runs: their claim names the set, and they take no starts of other homes, so the list can not go out of date. A home that shares its agents goes on awaiting what it awaited as the only one. A job that is rejected meanwhile leaves no seal behind, as its other candidate may have it by then. Agents to which a seal is due get a link if theirs was closed.

At a change: one question to each home, and an exchange with each agent if a home is lost.

--- a/failure/fleet_return_cells_test.go
+++ b/failure/fleet_return_cells_test.go
@@ -88,9 +88,6 @@
 // TestTwoHomesRunAJobThatIsSubmittedAgainInCells is TestTwoHomesRunAJobThatIsSubmittedAgain on a site of
 // several cells, where a job goes to another home as its candidates change.
 func TestTwoHomesRunAJobThatIsSubmittedAgainInCells(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 27")
-	}
 	for _, change := range cellChanges {
 		for first := range 2 {
 			for _, after := range []time.Duration{0, 80 * time.Millisecond, 500 * time.Millisecond, retransmitDelay} {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"masticbay/work"
@@ -45,7 +46,7 @@
 	if isNew && !c.isStarting(now) {
 		delay = time.Duration(c.workAhead(j) / c.speedFor(j, capacity) * float64(time.Millisecond))
 	}
-	if s := j.sealing; s != nil && (!s.Complete || s.Silent || s.byRunList && c.awaitsSilentAgent(now)) {
+	if s := j.sealing; s != nil && (!s.Complete || s.Silent || s.byRunList && (c.awaitsSilentAgent(now) || c.awaitsLost(now, s))) {
 		delay = max(delay, c.sealedBy(s).Sub(now))
 	}
 	need := time.Duration(float64(c.chainTime(j))*capacity.minSlowness) + c.cfg.Margin
@@ -184,5 +185,10 @@
 	if j.mayHaveRun || c.wasSent(j.ID) {
 		out = work.Outcome{State: work.Unknown, Reason: "ran before its caller was lost; now " + reason}
 	}
+	s := j.sealing
 	c.close(j, out)
+	if s != nil && s.byRunList && len(s.asked) == 0 && !c.hasTerm {
+		// The other candidate may have the job now. If it comes back, the lists are awaited anew.
+		c.sealing = slices.DeleteFunc(c.sealing, func(o *sealing) bool { return o == s })
+	}
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -97,7 +97,8 @@
 	withdrawn      []withdrawal           // by stopAt
 	sealing        []*sealing             // of jobs that are not placed before agents have sealed them
 	earlier        earlierHomes
-	hasTerm        bool // agents have to follow this home
+	others         []*otherHome // of a site of several cells: are awaited
+	hasTerm        bool         // agents have to follow this home
 	termBegunAt    time.Time
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
@@ -357,6 +358,7 @@
 	c.expireAgents(now)
 	c.stopWithdrawn(now)
 	c.expireRunLists(now)
+	c.endOtherHomes(now)
 	c.releaseSealed(now)
 	c.abandonOverdue(now)
 	c.expireSlowdowns(now)
--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -45,18 +45,9 @@
 	c.awaitRunListsOfAll(now)
 }
 
-// EndTerm ends the term. Agents need not follow this home any more.
+// EndTerm ends the term. Agents need not follow this home any more. Lists that are awaited go on being so.
 func (c *Core) EndTerm() { c.hasTerm = false }
 
-// ShareAgents ends the term as the agents serve this home and others from now on. Their lists are not
-// awaited.
-func (c *Core) ShareAgents(now time.Time) {
-	c.EndTerm()
-	c.earlier = earlierHomes{}
-	c.releaseSealed(now)
-	c.placeWaiting(now)
-}
-
 // JobsToGiveBack returns the jobs that wait for lists, and of which no task was sent. They can be handed
 // to the next home.
 func (c *Core) JobsToGiveBack() (ids []string) {
@@ -197,7 +188,7 @@
 // AwaitsAgent reports whether an agent has to list its runs or to follow this home.
 func (c *Core) AwaitsAgent(agent string) bool {
 	_, ok := c.earlier.agents[agent]
-	return ok
+	return ok || slices.ContainsFunc(c.others, func(o *otherHome) bool { return o.agents[agent] })
 }
 
 // AwaitsFormerHome reports whether a former home has not listed its jobs yet.
@@ -254,11 +245,11 @@
 
 // awaitRunLists keeps a new job from being placed while it may have runs of other homes.
 func (c *Core) awaitRunLists(now time.Time, j *job) {
-	highest := c.highestRunOfOthers(j.ID)
-	if j.Stored || highest == 0 && !c.AwaitsRunLists() {
+	highest, others := c.highestRunOfOthers(j.ID), c.othersWith(j.ID)
+	if j.Stored || highest == 0 && !c.AwaitsRunLists() && len(others) == 0 {
 		return // the ledger knows stored jobs
 	}
-	s := &sealing{job: j.ID, startedAt: now, asked: make(map[string]bool), byRunList: true}
+	s := &sealing{job: j.ID, startedAt: now, asked: make(map[string]bool), byRunList: true, others: others}
 	s.Complete, s.RunNumberBase, s.RunsEndAt = true, max(j.runNumberBase, highest), now.Add(c.cfg.RunsOfOthersEndAfter)
 	for _, a := range c.agentNames {
 		if _, ok := c.targets[a].runsOfOthers[j.ID]; ok {
@@ -280,6 +271,11 @@
 			end = a.until
 		}
 	}
+	for _, o := range s.others {
+		if !o.ended && o.until.After(end) {
+			end = o.until
+		}
+	}
 	return end
 }
 
@@ -305,6 +301,9 @@
 			c.sealListed(now, s, t.agent, n)
 		}
 	}
+	if r.ListsAllRuns && c.listedForLostHomes(now, r.AskedAt, t.agent) {
+		changed = true
+	}
 	a, ok := c.earlier.agents[t.agent]
 	if !ok || !a.countsSince(r) || !r.ListsAllRuns && (a.lists || !r.Follows) {
 		return changed
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -30,6 +30,7 @@
 	startedAt time.Time
 	asked     map[string]bool // by agent that has not sealed the job: it was asked to
 	byRunList bool            // the job is not known to have had another home; see Core.awaitRunLists
+	others    []*otherHome    // may have the job
 }
 
 // TakeOver is Submit for a job that another home may have started.
@@ -59,6 +60,7 @@
 			s.RunsEndAt = earlier.RunsEndAt
 		}
 		s.Complete = s.Complete && earlier.Complete
+		s.others = append(s.others, earlier.others...)
 		for agent := range earlier.asked {
 			s.asked[agent] = false
 		}
@@ -135,7 +137,7 @@
 func (c *Core) releaseSealed(now time.Time) {
 	c.sealing = slices.DeleteFunc(c.sealing, func(s *sealing) bool {
 		sealed := s.Complete && len(s.asked) == 0
-		if c.AwaitsRunLists() || !sealed && now.Before(s.RunsEndAt) {
+		if c.AwaitsRunLists() || s.awaitsOthers() || !sealed && now.Before(s.RunsEndAt) {
 			return false
 		}
 		j, ok := c.jobs[s.job]
@@ -162,6 +164,16 @@
 	})
 }
 
+// AgentsToSeal returns the agents for which AwaitsSeal holds.
+func (c *Core) AgentsToSeal() (agents []string) {
+	for _, a := range c.agentNames {
+		if c.AwaitsSeal(a) {
+			agents = append(agents, a)
+		}
+	}
+	return agents
+}
+
 // closeSealed gives up a job whose start an agent refused because another home has the job.
 func (c *Core) closeSealed(now time.Time, j *job) {
 	c.close(j, work.Outcome{State: work.Unknown, Reason: "another home has the job"})
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -58,7 +58,7 @@
 	_, others := g.Used(home)
 	return Report{
 		Epoch: g.Epoch(), Evacuated: g.Evacuated(),
-		RunsOfOthers: g.RunsOfOthers(home), ListsAllRuns: g.ListsAllRuns(home), Follows: g.Leader() == home, FollowsOther: !g.TakesStartsOf(home),
+		RunsOfOthers: g.RunsOfOthers(home), ListsAllRuns: g.ListsAllRuns(home), Follows: g.Follows(home), FollowsOther: !g.TakesStartsOf(home),
 		Target: t, Ready: serves && !g.OutOfContact() && !g.StartsHeld() && !g.RenewalPaused() && !g.LeaseWithheld(), Settled: g.Settled() && !g.RenewalPaused(), Others: others,
 		Pace: g.Pace(), Idle: g.StalledRuns(home), Slow: g.Slow(home), Events: g.Events(home, acked),
 	}
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -71,13 +71,15 @@
 		return
 	}
 	before := a.guard.Leader()
-	a.guard.Claim(now, worker.Claim{Home: args.Home, Seq: c.Seq, Term: c.Term, Reach: c.Reach, Former: c.Former, Shared: c.Shared})
+	a.guard.Claim(now, worker.Claim{Home: args.Home, Seq: c.Seq, Term: c.Term, Reach: c.Reach, Former: c.Former, Shared: c.Shared, Homes: c.Homes})
 	if after := a.guard.Leader(); after != before {
 		a.log.Info().Str("home", after).Str("before", before).Uint64("term", c.Term).Int("reach", c.Reach).Int("former", len(c.Former)).
 			Int("runsOfOthers", len(a.guard.RunsOfOthers(after))).Msg("agent follows another home")
-		a.signalEvents() // the former leader learns that its starts are refused
+		if !c.Shared {
+			a.signalEvents() // the former leader learns that its starts are refused
+		}
 	}
-	if !c.Listed && !c.Shared {
+	if !c.Listed && (!c.Shared || len(c.Homes) > 0) {
 		args.Wait = min(args.Wait, listRetryInterval)
 		if a.guard.ListsAllRuns(args.Home) {
 			args.Wait = 0
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -21,6 +21,7 @@
 	delay      time.Duration  // how long a new job would wait there
 	startRate  float64        // tasks that it starts each second
 	vacant     bool           // no job is stored on the site
+	open       bool           // jobs that are not stored are open there
 	receivedAt time.Time
 }
 
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -88,7 +88,7 @@
 	e.roster.RecordTerm(g.HighestTerm)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
-		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, receivedAt: e.now()}
+		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, open: g.Open, receivedAt: e.now()}
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -43,11 +43,13 @@
 	wasAlone       bool                 // it was the only home of the site then
 	term           uint64               // in which it was the only home last; 0 if it was not
 	registry       agentRegistry
+	claimedTerm    uint64 // highest term of its claims
 	lastClaim      uint64 // number of the last claim to any agent
 	hasListed      bool   // the open jobs were listed to a later home
 	// lastOrder is the number of the last order to any agent. It never restarts while
 	// the process runs, although links are replaced: agents take no number twice.
 	lastOrder uint64
+	homeSet   homeSet
 	declinedJobs
 	storedJobs
 }
@@ -149,7 +151,6 @@
 			return out, false
 		}
 	}
-	delete(h.declinedUntil, args.Job.ID)
 	h.waiters[args.Job.ID] = append(h.waiters[args.Job.ID], w)
 	claimed := h.claimFormer(args.Job.ID)
 	args.FirstRun = max(args.FirstRun, claimed)
@@ -158,7 +159,11 @@
 	} else {
 		h.core.Submit(h.e.now(), args.Job, 0)
 	}
+	delete(h.declinedUntil, args.Job.ID)
 	h.deliverDecisions()
+	if len(h.homeSet.members) > 1 && !h.status.Load().open {
+		h.notify() // the next greeting says that jobs are open
+	}
 	h.mu.Unlock()
 	select {
 	case out = <-w.done:
@@ -325,6 +330,11 @@
 	}
 	h.updateEnrollment(now, cell)
 	cell = append(append(cell, h.unconfirmedAgents(now)...), h.registry.agentsToAsk(now)...)
+	for _, a := range h.core.AgentsToSeal() {
+		if _, ok := h.links[a]; !ok { // closed since it listed a run
+			h.links[a] = newLink(h, a)
+		}
+	}
 	inCell := make(map[string]bool, len(cell))
 	for _, a := range cell {
 		inCell[a] = true
@@ -335,7 +345,9 @@
 	for a := range h.links {
 		h.core.Exclude(a, !inCell[a])
 	}
-	h.closeLinks(func(a string) bool { return !inCell[a] && !h.core.HasRuns(a) && !h.core.AwaitsSeal(a) })
+	h.closeLinks(func(a string) bool {
+		return !inCell[a] && !h.core.HasRuns(a) && !h.core.AwaitsSeal(a) && !h.core.AwaitsAgent(a)
+	})
 }
 
 // closeLinks closes the links to the agents that match. The caller holds mu.
--- a/site/home_former.go
+++ b/site/home_former.go
@@ -16,15 +16,18 @@
 // the next home, which has to know of it: it asks the former home which jobs are open there,
 // and takes such a job over like one of a lost home.
 
-// OpenJobsArgs asks a former home for the jobs that are open there.
-type OpenJobsArgs struct{}
+// OpenJobsArgs asks a former home, or a present one of another cell, for the jobs that are open there.
+type OpenJobsArgs struct {
+	Homes []string // of the site, as the sender sees them
+}
 
 // OpenJobsReply lists jobs that are not stored and not answered.
 type OpenJobsReply struct {
 	Jobs map[string]int // by ID: above which number the runs are numbered
-	// Places is set if the receiver is home; it lists nothing then.
+	// Places is set if the receiver is home and its view of the homes differs, or it awaits lists
+	// itself. It lists nothing then.
 	Places bool
-	// Term is that in which the receiver was the only home last; 0 if it was not. AllRuns is set if all
+	// Term is the last one in which the receiver was home. AllRuns is set if it was the only one, and all
 	// runs of the homes before it are of Jobs.
 	Term    uint64
 	AllRuns bool
@@ -33,29 +36,31 @@
 // ReleaseArgs withdraws a job for all that wait for it, as its caller has submitted it again
 // at another home.
 type ReleaseArgs struct {
-	Job string
+	Job   string
+	Homes []string // of the site, as the sender sees them
 }
 
 // ReleaseReply is empty.
 type ReleaseReply struct{}
 
 // OpenJobs lists the jobs that are open at this entry's home.
-func (m *entryMethods) OpenJobs(_ *OpenJobsArgs, reply *OpenJobsReply) error {
+func (m *entryMethods) OpenJobs(args *OpenJobsArgs, reply *OpenJobsReply) error {
 	h := m.e.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if reply.Places = h.updateRole(); reply.Places {
+	isHome := h.updateRole()
+	if reply.Places = isHome && (!m.e.homesAre(args.Homes) || h.core.AwaitsLostHomes()); reply.Places {
 		return nil
 	}
-	h.hasListed = true // from now on, it takes no job that is not listed
-	reply.Jobs, reply.Term, reply.AllRuns = h.core.OpenJobs(), h.term, h.core.ListsAllRuns()
+	h.hasListed = !isHome // from now on, it takes no job that is not listed
+	reply.Jobs, reply.Term, reply.AllRuns = h.core.OpenJobs(), max(h.term, h.claimedTerm), h.term > 0 && h.core.ListsAllRuns()
 	return nil
 }
 
 // Release withdraws a job for all that wait for it. A message that was held up must not withdraw a
 // job that has come back to this home.
 func (m *entryMethods) Release(args *ReleaseArgs, _ *ReleaseReply) error {
-	if m.e.placesTasks() {
+	if m.e.placesTasks() && !m.e.homesAre(args.Homes) {
 		return nil
 	}
 	m.e.requestLog.Info().Str("job", args.Job).Msg("job released to another home")
@@ -106,7 +111,7 @@
 func (e *Entry) fetchOpenJobs(m roster.Member) (listed bool, term uint64) {
 	ctx, cancel := context.WithTimeout(e.ending, greetAnswerTimeout)
 	defer cancel()
-	rep, err := wire.Call[OpenJobsArgs, OpenJobsReply](ctx, e.peer(m.Address), entryOpenJobs, &OpenJobsArgs{})
+	rep, err := wire.Call[OpenJobsArgs, OpenJobsReply](ctx, e.peer(m.Address), entryOpenJobs, &OpenJobsArgs{Homes: lives(e.homes())})
 	if err != nil {
 		e.log.Info().Err(err).Str("entry", m.Name).Msg("open jobs of a former home not known")
 		return false, 0
@@ -202,7 +207,7 @@
 func (e *Entry) releaseOnce(address, id string) error {
 	ctx, cancel := context.WithTimeout(e.ending, greetAnswerTimeout)
 	defer cancel()
-	_, err := wire.Call[ReleaseArgs, ReleaseReply](ctx, e.peer(address), entryRelease, &ReleaseArgs{Job: id})
+	_, err := wire.Call[ReleaseArgs, ReleaseReply](ctx, e.peer(address), entryRelease, &ReleaseArgs{Job: id, Homes: lives(e.homes())})
 	return err
 }
 
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -19,6 +19,7 @@
 	homes, now := h.e.homes(), h.e.now()
 	isHome := slices.ContainsFunc(homes, func(m roster.Member) bool { return m.Life == h.e.life })
 	isAlone := isHome && len(homes) == 1
+	last := h.updateHomeSet(now, homes, isHome)
 	if isHome && !h.wasHome {
 		h.importPairs(now)
 		h.hasListed = false
@@ -27,15 +28,15 @@
 	h.wasHome, h.wasAlone = isHome, isAlone
 	switch {
 	case isAlone && (!wasAlone || homes[0].Term != h.term):
-		h.beginTerm(now, homes[0].Term)
+		h.beginTerm(now, homes[0].Term, last)
 	case !isAlone && wasAlone:
 		h.registry = agentRegistry{}
 		if isHome {
-			h.core.ShareAgents(now)
+			h.term = 0
 		} else {
 			h.giveJobsBack(now)
-			h.core.EndTerm()
 		}
+		h.core.EndTerm()
 		h.deliverDecisions()
 	}
 	return isHome
@@ -57,19 +58,24 @@
 // movedJob is the state of a job that a home gives back to its entry. It does not leave home.run.
 const movedJob work.State = "moved"
 
-// beginTerm begins a term in which this entry is the only home. The caller holds mu.
-func (h *home) beginTerm(now time.Time, term uint64) {
+// beginTerm begins a term in which this entry is the only home, after those of the given set. The caller
+// holds mu.
+func (h *home) beginTerm(now time.Time, term uint64, last []roster.Member) {
 	clear(h.listedHomes)
 	h.term = term
 	former, agentsOfFormer := h.e.homesToAsk(now)
+	for _, m := range last {
+		if m.Life != h.e.life && !containsLife(former, m.Life) && h.e.isInContact(m) {
+			former = append(former, m)
+		}
+	}
 	lives := make([]string, len(former))
 	for i, m := range former {
 		lives[i] = m.Life
 		go h.awaitFormerHome(m)
 	}
-	agents, complete, _ := h.e.agentsSeen(now, agentsOfFormer)
-	// Others know of more agents, or nobody in contact can tell.
-	if most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer); !complete && (len(agents) < most || !isKnown) {
+	agents, complete := h.e.agentsToList(now, agentsOfFormer)
+	if !complete {
 		agents = append(agents, schedule.UnknownAgent)
 	}
 	h.registry = agentRegistry{}
@@ -79,6 +85,14 @@
 	h.notify()
 }
 
+// agentsToList returns the agents which may have runs of lost homes that reached up to ofLost agents. The list
+// is not complete if others know of more agents, or nobody in contact can tell.
+func (e *Entry) agentsToList(now time.Time, ofLost int) (agents []string, complete bool) {
+	agents, complete, _ = e.agentsSeen(now, ofLost)
+	most, isKnown := e.agentsOfOthers(now, ofLost)
+	return agents, complete || len(agents) >= most && isKnown
+}
+
 // updateAgentsKnown ends the wait for unknown agents once this entry knows as many as others do, or has read
 // those that the homes before it knew. The caller holds mu.
 func (h *home) updateAgentsKnown(now time.Time) {
@@ -140,12 +154,12 @@
 	homes := h.e.roster.Homes(now)
 	switch {
 	case len(homes) > 1:
-		c.Term, c.Shared = homes[0].Term, true
-		return c
+		c.Shared, c.Homes = true, slices.Sorted(slices.Values(lives(homes)))
 	case len(homes) == 0 || homes[0].Life != h.e.life:
 		return c
 	}
 	c.Term = homes[0].Term
+	h.claimedTerm = max(h.claimedTerm, c.Term)
 	inContact := h.e.roster.InContact(now)
 	h.lastClaim++
 	c.Seq, c.Reach = h.lastClaim, 1+len(inContact)
@@ -192,7 +206,7 @@
 
 // isInContact reports whether an incarnation of another entry is in contact.
 func (e *Entry) isInContact(m roster.Member) bool {
-	return slices.ContainsFunc(e.entriesInContact(), func(o roster.Member) bool { return o.Life == m.Life })
+	return containsLife(e.entriesInContact(), m.Life)
 }
 
 // recordHomes remembers the homes of the site until there are others, of which this entry may be
--- a/site/home_term_test.go
+++ b/site/home_term_test.go
@@ -39,7 +39,7 @@
 			}
 			h.mu.Lock()
 			h.wasAlone = true
-			h.beginTerm(now, 1)
+			h.beginTerm(now, 1, nil)
 			h.mu.Unlock()
 			if tc.registered != nil {
 				h.takeRegistry(1, registryItems(tc.registered...))
--- a/site/messages.go
+++ b/site/messages.go
@@ -70,6 +70,7 @@
 	Reach  int
 	Former map[string]uint64 // by incarnation: last term
 	Shared bool
+	Homes  []string // if Shared: of the site
 	// Listed is set if the home has the agent's list of the runs of others. Otherwise a reply that holds
 	// it is sent at once.
 	Listed bool
--- a/worker/claim.go
+++ b/worker/claim.go
@@ -1,6 +1,10 @@
 package worker
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Two entries may act as home at the same time, and neither knows which tasks the other one
 // starts. So an agent follows one home at a time: it takes the starts of that home only, and
@@ -17,8 +21,10 @@
 	// Former holds homes that have given their role away, and the last term of each. They may go on with
 	// their jobs, which the claiming home knows.
 	Former map[string]uint64
-	// Shared is set by the homes of a site of several cells, whose agents follow none of them.
+	// Shared is set by the homes of a site of several cells, whose agents take the starts of all Homes.
+	// Earlier builds name no Homes, and agents take all starts.
 	Shared bool
+	Homes  []string // sorted
 }
 
 // outranks reports whether an agent in contact with both homes follows c rather than o: the home
@@ -35,6 +41,9 @@
 	return c.Home < o.Home
 }
 
+// includes reports whether an agent that follows c takes the starts of a home.
+func (c *Claim) includes(home string) bool { return c.Home == home || slices.Contains(c.Homes, home) }
+
 // knowsEndOf reports whether the home of c knows that the home of o has given its role away since o.
 func (c *Claim) knowsEndOf(o *Claim) bool {
 	term, ok := c.Former[o.Home]
@@ -43,30 +52,30 @@
 
 // Claim applies the claim of a home. It must be recent: an earlier one may have been overruled.
 func (g *Guard) Claim(now time.Time, c Claim) {
-	leader := &g.leader
-	if c.Term == 0 {
+	leader, s := &g.leader, g.homeState(c.Home)
+	if c.Term == 0 || c.Seq < s.claim.Seq || c.Home == leader.Home && c.Seq <= leader.Seq {
 		return
 	}
-	if s := g.homeState(c.Home); c.Term > s.claimed {
-		s.claimed = c.Term
-	}
+	s.claim, s.claimed = c, max(s.claimed, c.Term)
 	switch {
-	case c.Shared:
+	case c.Shared && len(c.Homes) == 0:
 		if c.Term >= leader.Term {
 			g.leader = Claim{Term: c.Term}
 		}
 		return
-	case c.Home == leader.Home:
-		if c.Seq <= leader.Seq {
-			return
-		}
-	case c.knowsEndOf(leader), g.leaderOutOfContact(now), c.outranks(leader):
+	case c.Home == leader.Home, c.isShareOf(leader), c.knowsEndOf(leader), g.leaderOutOfContact(now), c.outranks(leader):
 	default:
 		return
 	}
 	g.leader = c
 }
 
+// isShareOf reports whether an agent in contact with both homes follows c since the homes of the site share
+// the agents now, or have done so and c is of the only one that is left.
+func (c *Claim) isShareOf(o *Claim) bool {
+	return (c.Shared || slices.Contains(o.Homes, c.Home)) && c.Term >= o.Term && 2*c.Reach >= o.Reach
+}
+
 // leaderOutOfContact reports whether the home that this agent follows can not start anything
 // here without a new contact.
 func (g *Guard) leaderOutOfContact(now time.Time) bool {
@@ -75,25 +84,49 @@
 }
 
 // TakesStartsOf reports whether a home may start tasks here, as this agent follows it, none, or
-// the one to which it has given its role away.
+// those to which it has given its role away.
 func (g *Guard) TakesStartsOf(home string) bool {
-	if g.leader.Home == "" || g.leader.Home == home {
+	if g.leader.Home == "" || g.leader.includes(home) {
 		return true
 	}
-	term, isFormer := g.leader.Former[home]
+	for m, s := range g.homes {
+		if g.Follows(m) && !g.mayGoOn(&s.claim, home) {
+			return false
+		}
+	}
+	return g.mayGoOn(&g.leader, home)
+}
+
+// mayGoOn reports whether the home of a claim lets another one go on with its jobs.
+func (g *Guard) mayGoOn(c *Claim, home string) bool {
+	term, isFormer := c.Former[home]
 	s, ok := g.homes[home]
 	// A home that has begun another term may have jobs of which the leader knows nothing.
 	return isFormer && !(ok && s.claimed > term)
 }
 
-// Leader returns the home that this agent follows; empty if there is none.
-func (g *Guard) Leader() string { return g.leader.Home }
+// Leader returns the home that this agent follows, or all homes that share it; empty if there is none.
+func (g *Guard) Leader() string {
+	if g.leader.Shared {
+		return strings.Join(g.leader.Homes, " ")
+	}
+	return g.leader.Home
+}
+
+// Follows reports whether this agent follows a home, alone or with the others of its last claim.
+func (g *Guard) Follows(home string) bool {
+	if !g.leader.Shared {
+		return g.leader.Home == home
+	}
+	s, ok := g.homes[home]
+	return ok && s.claim.Shared && slices.Equal(s.claim.Homes, g.leader.Homes)
+}
 
 // ListsAllRuns reports whether RunsOfOthers is complete for a home: no other home can start a run
 // that the home does not know, and the worker has none that this Guard does not know. Where nothing
 // has listened since this Guard began, there is no worker.
 func (g *Guard) ListsAllRuns(home string) bool {
-	return g.leader.Home == home && (g.Settled() || g.noListener && g.lastPoll.IsZero())
+	return g.Follows(home) && (g.Settled() || g.noListener && g.lastPoll.IsZero())
 }
 
 // RunsOfOthers returns, by job, the highest number of a run that may be active and that another
--- a/worker/claim_test.go
+++ b/worker/claim_test.go
@@ -35,7 +35,10 @@
 		{"former home named, earlier term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 3, Reach: 3, Former: map[string]uint64{"e1": 3}}, "e1"},
 		{"former home named, lower term of a home that has restarted", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 1, Reach: 3, Former: map[string]uint64{"e1": 4}}, "e2"},
 		{"no term", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2"}, "e1"},
-		{"cells", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 4, Shared: true}, ""},
+		{"cells of an earlier build, which names no homes", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 4, Shared: true}, ""},
+		{"cells", worker.Claim{Home: "e1", Term: 4, Reach: 2}, worker.Claim{Home: "e2", Term: 4, Reach: 2, Shared: true, Homes: []string{"e1", "e2"}}, "e1 e2"},
+		{"cells of a home without contact to others", worker.Claim{Home: "e1", Term: 4, Reach: 4}, worker.Claim{Home: "e2", Term: 5, Reach: 1, Shared: true, Homes: []string{"e2", "e3"}}, "e1"},
+		{"the only home of the cells that is left", worker.Claim{Home: "e1", Term: 4, Reach: 2, Shared: true, Homes: []string{"e1", "e2"}}, worker.Claim{Home: "e2", Term: 4, Reach: 1}, "e2"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			d := newDriver(t)
@@ -80,6 +83,30 @@
 	}
 }
 
+// TestStartOfALostHomeOfACellOverlapsRunElsewhere guards against a double run: the homes of the cells take a home
+// for lost, which starts a task at an agent that has listed its runs to them.
+func TestStartOfALostHomeOfACellOverlapsRunElsewhere(t *testing.T) {
+	shared := func(home string, seq uint64, homes ...string) worker.Claim {
+		return worker.Claim{Home: home, Seq: seq, Term: 3, Reach: 3, Shared: true, Homes: homes}
+	}
+	d := newDriver(t)
+	d.claim(shared("e1", 1, "e1", "e2"))
+	d.order(start(0, 1, 10))
+	d.claim(shared("e2", 1, "e2", "e3"))
+	d.claim(shared("e3", 1, "e2", "e3"))
+	if d.g.TakesStartsOf("e1") || !d.g.TakesStartsOf("e2") || !d.g.TakesStartsOf("e3") {
+		t.Error("the agent does not take the starts of exactly the homes that it follows")
+	}
+	if d.g.ListsAllRuns("e1") || !d.g.ListsAllRuns("e2") || !d.g.ListsAllRuns("e3") || d.g.RunsOfOthers("e2")["j"] != 1 {
+		t.Errorf("runs of others %v, want run 1 of j listed to e2 and e3", d.g.RunsOfOthers("e2"))
+	}
+	former := shared("e2", 2, "e2", "e3")
+	former.Former = map[string]uint64{"e1": 3}
+	if d.claim(former); d.g.TakesStartsOf("e1") {
+		t.Error("the agent takes starts of a home that one of the others does not know to have given its role away")
+	}
+}
+
 // TestOvertakenClaimNamesAFormerHome guards against a double run: a claim that arrives after a later one
 // lets a former home start tasks again.
 func TestOvertakenClaimNamesAFormerHome(t *testing.T) {
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -23,6 +23,7 @@
 type homeState struct {
 	lastContact time.Time // latest time of the agent's clock that the entry has echoed
 	events      []Event
+	claim       Claim  // the last one
 	claimed     uint64 // highest term of its claims
 }
 
