Do not take a declined job of an entry that knows one home only

Cause: a home looked up the jobs that it had rejected only if the entry named another candidate.

A home that knows other homes answers such a job as unknown: it may run at the other candidate, and the entry can not hand it on.

Measured: the new test fails without the change.

--- a/site/entry_declined.go
+++ b/site/entry_declined.go
@@ -75,11 +75,14 @@
 // have it or has the shorter wait. The caller holds mu.
 func (h *home) decline(args *RunArgs) (out work.Outcome, declines bool) {
 	j := &args.Job
-	if !j.Alternative {
-		return out, false
-	}
+	mayBeElsewhere := h.e.now().Before(h.declinedUntil[j.ID])
 	switch {
-	case h.e.now().Before(h.declinedUntil[j.ID]):
+	case mayBeElsewhere && !j.Alternative && len(h.e.homes()) > 1:
+		// The entry does not know the other candidate.
+		return work.Outcome{State: work.Unknown, Reason: "another home may have it"}, true
+	case !j.Alternative:
+		return out, false
+	case mayBeElsewhere:
 		out.Reason = "the other candidate may have it"
 	case h.isNew(args) && h.isSlower(args):
 		out.Reason = "the other candidate has a shorter wait"
--- a/site/entry_declined_test.go
+++ b/site/entry_declined_test.go
@@ -226,3 +226,22 @@
 		t.Error("the wait is over although a home has answered")
 	}
 }
+
+// TestDeclinedJobOfAnEntryThatKnowsOneHomeIsNotTaken guards against a double run: an entry that has lost the second
+// candidate hands a job to the first one, which has rejected it before.
+func TestDeclinedJobOfAnEntryThatKnowsOneHomeIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHomeOfCell(t)
+		job := work.Job{ID: jobWithFirst(t, h, "e1"), Alternative: true}
+		if out, _ := h.handOver(t, job, 0); out.State != work.Rejected {
+			t.Fatalf("outcome %+v of a home without workers, want a rejection", out)
+		}
+		job.Alternative = false
+		hearOtherHome(h.e)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if out, declines := h.decline(&RunArgs{Job: job}); !declines || out.State != work.Unknown {
+			t.Errorf("outcome %+v, declines %t, want an unknown one", out, declines)
+		}
+	})
+}
