Start nothing at a home of a cell that the other homes have lost

On a site of several cells, a home that did not hear another one for a while went on with its cell, while the other home took jobs in its place; a caller that came back as the link healed had its job run twice.

Cause: a home of a cell did not heed that an agent follows homes without it. It waited for lists of that agent until its leases had expired, and then started jobs at agents that the others did not claim.

It starts nothing now until all agents have listed their runs again, as a home that is alone does. Links to agents that are awaited are opened again.

--- a/failure/fleet_return_cells_test.go
+++ b/failure/fleet_return_cells_test.go
@@ -154,3 +154,29 @@
 		}
 	}
 }
+
+// TestCutInOneDirectionOverlapsResubmissionInCells guards against a double run: a home does not hear another one for a
+// while, takes a job in its place, and the other one has not noticed.
+func TestCutInOneDirectionOverlapsResubmissionInCells(t *testing.T) {
+	for first := range 2 {
+		for _, after := range returnDelays {
+			t.Run(fmt.Sprintf("home %d, back after %v", first, after), func(t *testing.T) {
+				runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
+					r := s.rolesOf(first)
+					home, other := fmt.Sprint("e", r.home), fmt.Sprint("e", r.other)
+					id := idRanked(0, r.other, r.home)
+					s.network.cut(other, home, true)
+					time.Sleep(1500 * time.Millisecond)
+					done := s.submitJobFrom("caller1", r.home, id, 400*time.Millisecond)
+					time.Sleep(300 * time.Millisecond)
+					s.network.vanish("caller1")
+					<-done
+					s.network.cut(other, home, false)
+					time.Sleep(after)
+					<-s.submitJobFrom("caller2", r.other, id, 3*time.Second)
+					s.describeRuns(id + ".0.0.0")
+				})
+			})
+		}
+	}
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -99,6 +99,7 @@
 	earlier        earlierHomes
 	others         []*otherHome // of a site of several cells: are awaited
 	hasTerm        bool         // agents have to follow this home
+	shares         bool         // agents have to follow this home and those of the other cells
 	termBegunAt    time.Time
 	tenure         Tenure
 	highestEpoch   uint64 // of all tenures so far
--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -48,6 +48,9 @@
 // EndTerm ends the term. Agents need not follow this home any more. Lists that are awaited go on being so.
 func (c *Core) EndTerm() { c.hasTerm = false }
 
+// ShareAgents sets whether agents have to follow this home together with those of the other cells.
+func (c *Core) ShareAgents(shares bool) { c.shares = shares }
+
 // JobsToGiveBack returns the jobs that wait for lists, and of which no task was sent. They can be handed
 // to the next home.
 func (c *Core) JobsToGiveBack() (ids []string) {
@@ -286,7 +289,7 @@
 		return false
 	}
 	changed = t.followsOther() != r.FollowsOther
-	if r.FollowsOther && c.hasTerm {
+	if r.FollowsOther && (c.hasTerm || c.shares) {
 		c.awaitReturn(now, t, !t.followsOther())
 	}
 	switch {
--- a/schedule/earlier_cells_test.go
+++ b/schedule/earlier_cells_test.go
@@ -98,3 +98,22 @@
 		t.Errorf("seals %v of a job that was rejected", h.seals)
 	}
 }
+
+// TestHomeThatOthersTakeForLostStartsJobsOfTheirs guards against a double run: the homes of the other cells have lost
+// this one, and an agent of its cell does not know it yet.
+func TestHomeThatOthersTakeForLostStartsJobsOfTheirs(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 2)
+	h.addAgent("b", 2)
+	h.c.ShareAgents(true)
+	h.followOther("b")
+	h.submit(job("j", 0, 1, time.Second))
+	h.list("a", nil)
+	if n := h.numStarts(); n != 0 {
+		t.Fatalf("%d starts while an agent follows other homes", n)
+	}
+	h.list("b", nil)
+	if n := h.numStarts(); n != 1 {
+		t.Errorf("%d starts once all agents follow this home again, want 1", n)
+	}
+}
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -164,10 +164,10 @@
 	})
 }
 
-// AgentsToSeal returns the agents for which AwaitsSeal holds.
-func (c *Core) AgentsToSeal() (agents []string) {
+// AwaitedAgents returns the known agents for which AwaitsSeal or AwaitsAgent holds.
+func (c *Core) AwaitedAgents() (agents []string) {
 	for _, a := range c.agentNames {
-		if c.AwaitsSeal(a) {
+		if c.AwaitsSeal(a) || c.AwaitsAgent(a) {
 			agents = append(agents, a)
 		}
 	}
--- a/site/home.go
+++ b/site/home.go
@@ -330,8 +330,8 @@
 	}
 	h.updateEnrollment(now, cell)
 	cell = append(append(cell, h.unconfirmedAgents(now)...), h.registry.agentsToAsk(now)...)
-	for _, a := range h.core.AgentsToSeal() {
-		if _, ok := h.links[a]; !ok { // closed since it listed a run
+	for _, a := range h.core.AwaitedAgents() {
+		if _, ok := h.links[a]; !ok { // closed since it listed its runs
 			h.links[a] = newLink(h, a)
 		}
 	}
--- a/site/home_change_test.go
+++ b/site/home_change_test.go
@@ -28,7 +28,6 @@
 			if err := (&entryMethods{h.e}).OpenJobs(&OpenJobsArgs{Homes: tc.homes}, reply); err != nil || reply.Places == tc.lists {
 				t.Errorf("asked by a home of %v: lists %t, want %t (%v)", tc.homes, !reply.Places, tc.lists, err)
 			}
-			time.Sleep(formerRunsEndAfter) // a home of unknown agents awaits itself what it may have missed
 		}
 	})
 }
@@ -39,8 +38,6 @@
 		own, foreign := jobWithFirst(t, h, "e1"), jobWithFirst(t, h, "e2")
 		other, unknown := roster.Member{Address: "e2", Life: "entry-2"}, roster.Member{Address: "e3", Life: "entry-3"}
 		last := slices.Clone(h.e.homes())
-		h.declinedUntil = map[string]time.Time{"declined": time.Now()}
-		declined := own
 		for _, tc := range []struct {
 			name     string
 			last     []roster.Member
@@ -50,7 +47,7 @@
 			want     bool
 		}{
 			{name: "this home was first", last: last, m: other, job: own},
-			{name: "this home was first and declined", last: last, m: other, job: declined, declined: true, want: true},
+			{name: "this home was first and declined", last: last, m: other, job: own, declined: true, want: true},
 			{name: "the other home was first", last: last, m: other, job: foreign, want: true},
 			{name: "a home out of contact before", last: last, m: unknown, job: own, want: true},
 			{name: "this home was none", last: []roster.Member{other}, m: other, job: own, want: true},
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -26,6 +26,7 @@
 	}
 	wasAlone := h.wasAlone
 	h.wasHome, h.wasAlone = isHome, isAlone
+	h.core.ShareAgents(isHome && !isAlone)
 	switch {
 	case isAlone && (!wasAlone || homes[0].Term != h.term):
 		h.beginTerm(now, homes[0].Term, last)
