Reproduce that large configurations are late and block jobs

The test shows it in virtual time: on a link of 10 Mbit/s a change of 0.9 MB is in force after 2.1 to 2.4 s, and 13 of 400 jobs lose their connection. The in-memory network gets links with a rate, shared by turns.

--- a/failure/conn_test.go
+++ b/failure/conn_test.go
@@ -82,6 +82,10 @@
 		if s.network.isSilent(s.link, s.openedAt) {
 			return
 		}
+		if l := s.network.narrowLinkTo(s.link.to); l != nil {
+			l.send(s, p)
+			return
+		}
 		s.chunks = append(s.chunks, chunk{time.Now().Add(latency), append([]byte(nil), p...)})
 	})
 	if err != nil {
--- a/failure/network_test.go
+++ b/failure/network_test.go
@@ -20,11 +20,12 @@
 	cuts             map[link]bool
 	refused          map[link]bool // links over which connections are refused
 	paused           map[string]bool
-	blackholedBefore time.Time            // connections opened before this time carry no data
-	silentAt         map[string]time.Time // by host: connections among entries and agents that were opened earlier carry no data
-	resetAt          map[string]time.Time // by host: connections that were opened earlier are reset
-	vanishedAt       map[string]time.Time // by host: connections that were opened earlier carry nothing, not even their end
-	changed          chan struct{}        // closed and replaced when a cut or a pause begins or ends
+	blackholedBefore time.Time              // connections opened before this time carry no data
+	silentAt         map[string]time.Time   // by host: connections among entries and agents that were opened earlier carry no data
+	resetAt          map[string]time.Time   // by host: connections that were opened earlier are reset
+	vanishedAt       map[string]time.Time   // by host: connections that were opened earlier carry nothing, not even their end
+	narrow           map[string]*narrowLink // by host
+	changed          chan struct{}          // closed and replaced when a cut or a pause begins or ends
 }
 
 // link is one direction between two hosts.
