Have a job that is taken over wait for the homes that may have it

On a site of several cells, a job that was taken over from a lost home, or whose seals of an earlier submission went on, was placed as soon as the agents had sealed it, while another home of the last set had not listed its jobs yet. Only a job that came without a former home waited for that home.

A takeover and a submission during seals now wait for the same homes.

Measured: the new test fails without the change (1 start, want 0, in both cases); the tests of schedule, site and worker pass.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -268,6 +268,7 @@
 	case h != nil:
 		c.awaitSeals(now, j, h)
 	case earlier != nil:
+		earlier.await(c.othersWith(w.ID))
 		j.sealing, j.runNumberBase = earlier, earlier.RunNumberBase
 	default:
 		c.awaitRunLists(now, j)
--- a/schedule/earlier_cells.go
+++ b/schedule/earlier_cells.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// await adds homes that may have the job of s.
+func (s *sealing) await(others []*otherHome) {
+	for _, o := range others {
+		if !slices.Contains(s.others, o) {
+			s.others = append(s.others, o)
+		}
+	}
+}
+
 // awaitsOthers reports whether a home that may have the job of s is awaited.
 func (s *sealing) awaitsOthers() bool {
 	return slices.ContainsFunc(s.others, func(o *otherHome) bool { return !o.ended })
--- a/schedule/earlier_cells_test.go
+++ b/schedule/earlier_cells_test.go
@@ -117,3 +117,41 @@
 		t.Errorf("%d starts once all agents follow this home again, want 1", n)
 	}
 }
+
+// sealAll reports that all agents have sealed what they were asked to.
+func (h *harness) sealAll() {
+	for agent, seals := range h.seals {
+		for _, s := range seals {
+			h.report(agent, schedule.Event{Run: work.Run{Task: work.TaskRef{Job: s.Job}, Number: s.UpTo}, End: work.Sealed})
+		}
+	}
+}
+
+// TestTakeoverOverlapsJobOfAnotherHome guards against a double run: a job is taken over from a lost home, or
+// sealed since an earlier submission, while another home that may have it has not listed its jobs.
+func TestTakeoverOverlapsJobOfAnotherHome(t *testing.T) {
+	for _, sealedBefore := range []bool{false, true} {
+		h := newHarness(t)
+		h.addAgent("a", 1)
+		h.advance(10 * time.Millisecond)
+		takeOver := func() {
+			h.c.TakeOver(h.now, job("j", 0, 1, 2*time.Second), schedule.Handover{RunNumberBase: 1000, Complete: true, RunsEndAt: h.now.Add(time.Second)})
+		}
+		if sealedBefore {
+			takeOver()
+			h.c.Withdraw(h.now, "j")
+		}
+		h.awaitHome("j")
+		if sealedBefore {
+			h.submit(job("j", 0, 1, 2*time.Second))
+		} else {
+			takeOver()
+		}
+		h.collect()
+		h.sealAll()
+		h.wantStarts("a", 0)
+		h.c.HomeListed(h.now, h.now, "e1")
+		h.collect()
+		h.wantStarts("a", 1)
+	}
+}
--- a/schedule/handover.go
+++ b/schedule/handover.go
@@ -42,7 +42,7 @@
 	for _, agent := range slices.Concat(h.Agents, c.agentNames) {
 		asked[agent] = false
 	}
-	s := &sealing{Handover: *h, job: j.ID, startedAt: now, asked: asked}
+	s := &sealing{Handover: *h, job: j.ID, startedAt: now, asked: asked, others: c.othersWith(j.ID)}
 	if !h.Complete || len(asked) > c.cfg.MaxSealingAgents {
 		s.Complete = false
 		clear(asked)
@@ -60,7 +60,7 @@
 			s.RunsEndAt = earlier.RunsEndAt
 		}
 		s.Complete = s.Complete && earlier.Complete
-		s.others = append(s.others, earlier.others...)
+		s.await(earlier.others)
 		for agent := range earlier.asked {
 			s.asked[agent] = false
 		}
