Leave a job to the home that has taken it over when homes change again

On a site of several cells, a new home had taken over a job from another one, where the withdrawn runs had not ended yet. When the homes changed again, that home asked the new one for its jobs, took the listed job for one that both have, and had the new home withdraw it: a caller who waited got 504.

A home asks a present home to withdraw only what is open at both. A former home is asked as before, since it may start a job whose runs go on here.

--- a/failure/fleet_return_cells_test.go
+++ b/failure/fleet_return_cells_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -180,3 +181,37 @@
 		}
 	}
 }
+
+// TestSecondChangeOfHomesWithdrawsAJob guards against a job that is thrown away: a new home has taken it over,
+// and its former home, where withdrawn runs of it have not ended, asks for jobs as the homes change again.
+func TestSecondChangeOfHomesWithdrawsAJob(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(fmt.Sprint("second change after ", gap), func(t *testing.T) {
+			runWithCells(t, 1, func(t *testing.T, s *fleet) {
+				r := s.rolesOf(0)
+				s.killEntry(r.third)
+				time.Sleep(2 * time.Second)
+				id := idRanked(0, r.third, r.home)
+				done := s.submitJobFrom("caller1", r.other, id, 200*time.Millisecond)
+				time.Sleep(100 * time.Millisecond)
+				s.network.vanish("caller1")
+				<-done
+				s.leaveStopsUnanswered()
+				s.startEntry(r.third)
+				for deadline := time.Now().Add(2 * time.Second); len(s.entry(r.home).CellHomes()) < 3 && time.Now().Before(deadline); {
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(250 * time.Millisecond)
+				var stop sync.WaitGroup
+				stop.Go(func() {
+					time.Sleep(gap)
+					s.stopEntry(r.other)
+				})
+				if status := s.submitJobWithin(s.ctx, r.home, id, 12*time.Second); status != http.StatusOK {
+					t.Errorf("the job of a caller that waits ended with %d", status)
+				}
+				stop.Wait()
+			})
+		})
+	}
+}
--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -38,9 +38,14 @@
 
 // submitWithin submits lateJob with a deadline after left, and returns the answer's status; 0 if none.
 func (s *fleet) submitWithin(ctx context.Context, entry int, left time.Duration) (status int) {
+	return s.submitJobWithin(ctx, entry, lateJob, left)
+}
+
+// submitJobWithin is submitWithin for a job of another ID.
+func (s *fleet) submitJobWithin(ctx context.Context, entry int, id string, left time.Duration) (status int) {
 	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial("caller"), DisableKeepAlives: true}}, Timeout: left}
 	step := work.Step{Count: 2, Room: work.Room{CPU: taskCPU}, Estimate: lateJobEstimate}
-	reply, err := caller.Submit(ctx, s.frontAddress(entry), longQueue.Name, lateJob, step)
+	reply, err := caller.Submit(ctx, s.frontAddress(entry), longQueue.Name, id, step)
 	if err != nil {
 		s.t.Logf("%s: no answer: %v", time.Now().Format("05.000"), err)
 		return 0
--- a/site/home_former.go
+++ b/site/home_former.go
@@ -148,7 +148,8 @@
 		f.base, f.until = max(f.base, base), until
 		h.formerJobs[id] = f
 		known, isOpen := h.core.HasJob(id)
-		if known {
+		// A present home that lists a job which has been withdrawn here has taken it over, with the runs.
+		if isOpen || known && !containsLife(h.homeSet.members, m.Life) {
 			both = append(both, id)
 		}
 		if isOpen {
