Keep the registered agents up to date on a site of several cells

A home that shares its agents with others kept no list of agents in the store, and the list of before stayed there. After a restart of all entries the first home is alone for a moment, took the old list for complete, and started a job a second time whose run was at an agent that had joined since. A commit without an answer was taken for undone, so that an agent that it had removed was not registered again.

The first home of the site keeps the list, whether it is alone or not, and reads it again after a commit without an answer. Reading ends with the entry.

What remains is known red 38: agents that join while the store is down.

--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -175,10 +175,7 @@
 			time.Sleep(time.Second)
 			s.loseLateJob(func() {
 				time.AfterFunc(downtime+10*time.Millisecond, func() { s.startAgent(0) })
-				for i := range fleetEntries {
-					s.killEntry(i)
-					time.AfterFunc(downtime, func() { s.startEntry(i) })
-				}
+				s.restartEntries(downtime)
 			})
 			s.submitWithin(s.ctx, home+1, 8*time.Second)
 			s.comeBack(entry, delay)
@@ -186,6 +183,68 @@
 	}
 }
 
+// TestAgentThatJoinsCellsOverlapsResubmission guards against a double run: an agent joins while the site has
+// several cells, and all entries restart. The next home is alone at first.
+func TestAgentThatJoinsCellsOverlapsResubmission(t *testing.T) {
+	for _, downtime := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
+		for entry := range fleetEntries {
+			t.Run(fmt.Sprintf("entries killed for %v, back at entry %d", downtime, entry), func(t *testing.T) {
+				runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
+					s.killAgent(2)
+					s.killAgent(3)
+					time.Sleep(75 * time.Second) // until they are no longer registered
+					s.startAgent(2)
+					time.Sleep(agentsSettleTime)
+					s.startAgent(3)
+					time.Sleep(agentsSettleTime)
+					s.loseLateJob(func() { s.restartEntries(downtime) })
+					s.submitWithin(s.ctx, entry, 8*time.Second)
+					s.comeBack(0, 0)
+				})
+			})
+		}
+	}
+}
+
+// TestAgentThatJoinsWithoutTheStoreOverlapsResubmission guards against a double run: agents join while the
+// store is down, and all entries restart as it is back.
+func TestAgentThatJoinsWithoutTheStoreOverlapsResubmission(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 38")
+	}
+	for _, downtime := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
+		for _, delay := range []time.Duration{0, 80 * time.Millisecond} {
+			t.Run(fmt.Sprintf("entries killed for %v, back after %v", downtime, delay), func(t *testing.T) {
+				runWithFleet(t, func(_ *testing.T, s *fleet) {
+					for i := 1; i < fleetAgents; i++ {
+						s.killAgent(i)
+					}
+					time.Sleep(75 * time.Second) // until they are no longer registered
+					s.store.SetFaults(standin.StoreFaults{Down: true})
+					for i := 1; i < fleetAgents; i++ {
+						s.startAgent(i)
+					}
+					time.Sleep(agentsSettleTime)
+					s.loseLateJob(func() {
+						s.restartEntries(downtime)
+						s.store.SetFaults(standin.StoreFaults{})
+					})
+					s.submitWithin(s.ctx, 1, 8*time.Second)
+					s.comeBack(0, delay)
+				})
+			})
+		}
+	}
+}
+
+// restartEntries kills all entries and starts them after a time.
+func (s *fleet) restartEntries(downtime time.Duration) {
+	for i := range fleetEntries {
+		s.killEntry(i)
+		time.AfterFunc(downtime, func() { s.startEntry(i) })
+	}
+}
+
 // TestNewSiteDelaysItsFirstJob guards against a site without former homes that waits for their runs.
 func TestNewSiteDelaysItsFirstJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/site/home.go
+++ b/site/home.go
@@ -329,7 +329,10 @@
 		return
 	}
 	h.updateEnrollment(now, cell)
-	cell = append(append(cell, h.unconfirmedAgents(now)...), h.registry.agentsToAsk(now)...)
+	cell = append(cell, h.unconfirmedAgents(now)...)
+	if h.wasAlone {
+		cell = append(cell, h.registry.agentsToAsk(now)...)
+	}
 	for _, a := range h.core.AwaitedAgents() {
 		if _, ok := h.links[a]; !ok { // closed since it listed its runs
 			h.links[a] = newLink(h, a)
--- a/site/home_registry.go
+++ b/site/home_registry.go
@@ -10,15 +10,16 @@
 	"masticbay/store"
 )
 
-// The only home of a site keeps the addresses of its agents in the store. The next home learns from them
-// which agents may have runs if all entries restart, as no process in contact can tell then.
+// The home of a site, or the first one of a site of several cells, keeps the addresses of the agents in the
+// store. The next home learns from them which agents may have runs if all entries restart, as no process in
+// contact can tell then.
 
 // agentRegistry is what a home knows of the agents in the store. The zero value is one that was not read.
 type agentRegistry struct {
+	term      uint64          // of the home that keeps it; 0 for none
 	agents    map[string]bool // addresses in the store; nil until they were read
 	readAt    time.Time
 	isWriting bool
-	retryAt   time.Time // nothing is written before
 }
 
 // agentsPrefix is the prefix of the keys under which a home stores the addresses of agents; the rest of a
@@ -40,9 +41,22 @@
 	return r.sorted()
 }
 
-// readRegistry reads the agents that the homes before a term have stored.
+// keepRegistry has this home keep the registry in a term, or not any more if the term is 0. The caller holds
+// mu.
+func (h *home) keepRegistry(term uint64) {
+	if h.registry.term == term {
+		return
+	}
+	h.registry = agentRegistry{term: term}
+	if term > 0 {
+		go h.readRegistry(term)
+	}
+}
+
+// readRegistry reads the agents that the homes before a term have stored, or that are left after a commit
+// without an answer.
 func (h *home) readRegistry(term uint64) {
-	for h.isInTerm(term) {
+	for h.keepsRegistry(term) {
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 		items, err := h.e.store.List(ctx, agentsPrefix)
 		cancel()
@@ -51,27 +65,23 @@
 			return
 		}
 		h.e.log.Warn().Err(err).Msg("agents not read from the store; will retry")
-		select {
-		case <-h.e.stop:
-			return
-		case <-time.After(registryRetryInterval):
-		}
+		sleep(h.e.ending, registryRetryInterval)
 	}
 }
 
-func (h *home) isInTerm(term uint64) bool {
+func (h *home) keepsRegistry(term uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.closed && h.wasAlone && h.term == term
+	return !h.closed && h.e.ending.Err() == nil && h.registry.term == term
 }
 
 func (h *home) takeRegistry(term uint64, items []store.Item) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.wasAlone || h.term != term {
+	if h.registry.term != term {
 		return
 	}
-	h.registry = agentRegistry{agents: make(map[string]bool), readAt: h.e.now()}
+	h.registry = agentRegistry{term: term, agents: make(map[string]bool), readAt: h.e.now()}
 	for _, it := range items {
 		h.registry.agents[strings.TrimPrefix(it.Key, agentsPrefix)] = true
 	}
@@ -82,7 +92,7 @@
 // updateRegistry has the store list the agents that this home knows. The caller holds mu.
 func (h *home) updateRegistry(now time.Time) {
 	r := &h.registry
-	if !r.wasRead() || r.isWriting || now.Before(r.retryAt) {
+	if !r.wasRead() || r.isWriting {
 		return
 	}
 	known, _, _ := h.e.agentsSeen(now, 0)
@@ -92,7 +102,7 @@
 	}
 	if len(c.Writes)+len(c.Deletes) > 0 {
 		r.isWriting = true
-		go h.writeRegistry(h.term, c)
+		go h.writeRegistry(r.term, c)
 	}
 }
 
@@ -124,13 +134,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := &h.registry
-	if h.term != term || !r.wasRead() {
+	if r.term != term || !r.wasRead() {
 		return
 	}
 	r.isWriting = false
 	if err != nil {
-		r.retryAt = h.e.now().Add(registryRetryInterval)
-		h.e.log.Warn().Err(err).Msg("agents not stored; will retry")
+		h.e.log.Warn().Err(err).Msg("agents not stored; will read them again")
+		r.agents = nil // the store may have carried the commit out
+		go h.readRegistry(term)
 		return
 	}
 	for _, w := range c.Writes {
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -28,10 +28,15 @@
 	h.wasHome, h.wasAlone = isHome, isAlone
 	h.core.ShareAgents(isHome && !isAlone)
 	switch {
+	case !isHome || homes[0].Life != h.e.life:
+		h.keepRegistry(0)
+	case !isAlone:
+		h.keepRegistry(homes[0].Term)
+	}
+	switch {
 	case isAlone && (!wasAlone || homes[0].Term != h.term):
 		h.beginTerm(now, homes[0].Term, last)
 	case !isAlone && wasAlone:
-		h.registry = agentRegistry{}
 		if isHome {
 			h.term = 0
 		} else {
@@ -79,8 +84,8 @@
 	if !complete {
 		agents = append(agents, schedule.UnknownAgent)
 	}
-	h.registry = agentRegistry{}
-	go h.readRegistry(term)
+	h.keepRegistry(0) // the agents are read anew
+	h.keepRegistry(term)
 	h.core.BeginTerm(now, agents, lives, now.Add(formerRunsEndAfter))
 	h.lastLinkUpdate = time.Time{} // the agents are asked at once
 	h.notify()
--- a/site/home_term_test.go
+++ b/site/home_term_test.go
@@ -81,3 +81,17 @@
 		}
 	}
 }
+
+// TestCommitWithoutAnAnswerIsTakenForUndone guards against an agent that is not registered again after a commit
+// that removed it and was not answered.
+func TestCommitWithoutAnAnswerIsTakenForUndone(t *testing.T) {
+	h := newHome(testEntry())
+	defer h.close()
+	h.registry = agentRegistry{term: 1, agents: map[string]bool{"a1": true, "a2": true}, readAt: time.Now()}
+	h.writeRegistry(1, &store.Commit{Deletes: []string{agentsPrefix + "a2"}})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.registry.wasRead() {
+		t.Errorf("the home takes %v for registered, want it to read them again", h.registry.sorted())
+	}
+}
--- a/site/link_test.go
+++ b/site/link_test.go
@@ -48,7 +48,7 @@
 }
 
 func testEntry() *Entry {
-	e := &Entry{node: &platform.Node{}, log: zerolog.Nop(), clock: clock.System{}, network: unreachableNetwork{}, life: "entry-1", metrics: newEntryMetrics(), store: platform.NewStore("store", dialOf(unreachableNetwork{}))}
+	e := &Entry{node: &platform.Node{}, log: zerolog.Nop(), clock: clock.System{}, network: unreachableNetwork{}, life: "entry-1", metrics: newEntryMetrics(), store: platform.NewStore("store", dialOf(unreachableNetwork{})), ending: context.Background()}
 	e.roster = roster.New(time.Now(), roster.Member{Address: "e1"}, rosterConfig())
 	return e
 }
