Ask the registered agents for the runs of a lost home of another cell

A home of a cell that had just started waited 1.35 s for agents that it could not name, since no entry in contact was old enough to tell their number.

It reads the list of agents in the store then, as a home that is alone does, and waits for these by name.

--- a/site/home_change.go
+++ b/site/home_change.go
@@ -43,7 +43,7 @@
 		}
 		if now.Sub(h.e.startedAt) < formerRunsEndAfter { // it knows no homes that were lost before
 			h.core.AwaitHome(now, "", now.Add(formerRunsEndAfter), func(string) bool { return true })
-			h.awaitAgentsOf(now, roster.Member{})
+			go h.awaitAgentsOf(roster.Member{})
 		}
 	}
 	for _, m := range homes { // one that had been out of contact may have been home meanwhile
@@ -91,49 +91,61 @@
 	}
 }
 
-// awaitHome asks another home for its open jobs until it answers or is lost.
+// awaitHome asks another home for its open jobs until it answers or is lost, and then its agents.
 func (h *home) awaitHome(m roster.Member) {
 	for h.e.ending.Err() == nil {
 		askedAt := h.e.now()
 		listed, _ := h.e.fetchOpenJobs(m)
-		inContact := h.e.isInContact(m)
-		if h.homeAnswered(m, askedAt, listed, inContact) {
+		if !listed && !h.e.isInContact(m) {
+			h.awaitAgentsOf(m)
+			return
+		}
+		if h.homeAnswered(m, askedAt, listed) {
 			return
 		}
 		sleep(h.e.ending, formerRetryInterval)
 	}
 }
 
-// homeAnswered records that another home has listed its jobs, or is out of contact. It reports whether
-// the home is not to be asked again.
-func (h *home) homeAnswered(m roster.Member, askedAt time.Time, listed, inContact bool) bool {
+// homeAnswered records whether another home has listed its jobs. It reports whether the home is not to be
+// asked again.
+func (h *home) homeAnswered(m roster.Member, askedAt time.Time, listed bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.e.now()
-	switch {
-	case h.closed:
+	if h.closed {
 		return true
-	case listed:
-		h.core.HomeListed(now, askedAt, m.Life)
-	case !inContact:
-		h.awaitAgentsOf(now, m)
+	}
+	if listed {
+		h.core.HomeListed(h.e.now(), askedAt, m.Life)
 	}
 	h.deliverDecisions()
 	return !h.core.AwaitsHome(m.Life)
 }
 
-// awaitAgentsOf has jobs wait for the agents which may run jobs of a lost home. The caller holds mu.
-func (h *home) awaitAgentsOf(now time.Time, m roster.Member) {
-	agents, complete := h.e.agentsToList(now, m.Agents)
+// awaitAgentsOf has jobs wait for the agents which may run jobs of a lost home.
+func (h *home) awaitAgentsOf(m roster.Member) {
+	agents, complete := h.e.agentsToList(h.e.now(), m.Agents)
+	if !complete {
+		agents, complete = h.e.registeredAgents(agents)
+		most, _ := h.e.agentsOfOthers(h.e.now(), m.Agents)
+		complete = complete && len(agents) >= most
+	}
 	if !complete || len(agents) > maxSealingAgents {
 		agents = nil
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	now := h.e.now()
 	h.core.HomeLost(now, m.Life, agents, now.Add(formerRunsEndAfter))
 	for _, a := range agents {
 		if _, ok := h.links[a]; !ok {
 			h.links[a] = newLink(h, a)
 		}
 	}
+	h.deliverDecisions()
 }
 
 // hasOpenJobs reports whether jobs are open at another home, as it has said last.
--- a/site/home_registry.go
+++ b/site/home_registry.go
@@ -89,6 +89,21 @@
 	h.notify()
 }
 
+// registeredAgents returns the given agents and those in the store, and whether the store has answered.
+func (e *Entry) registeredAgents(agents []string) (all []string, ok bool) {
+	ctx, cancel := context.WithTimeout(e.ending, registerTimeout)
+	defer cancel()
+	items, err := e.store.List(ctx, agentsPrefix)
+	if err != nil {
+		e.log.Warn().Err(err).Msg("agents not read from the store")
+		return agents, false
+	}
+	for _, it := range items {
+		agents = union(agents, []string{strings.TrimPrefix(it.Key, agentsPrefix)})
+	}
+	return agents, true
+}
+
 // updateRegistry has the store list the agents that this home knows. The caller holds mu.
 func (h *home) updateRegistry(now time.Time) {
 	r := &h.registry
