--- a/intake/gate.go
+++ b/intake/gate.go
@@ -49,6 +49,7 @@
 	budget  *Budget
 	owners  map[*Account]aborter
 	waiters int
+	isStuck bool          // a new connection has waited in vain, and no account has ended since
 	freed   chan struct{} // closed and replaced when memory is given back while someone waits
 	refused map[Cause]int
 }
@@ -197,12 +198,13 @@
 
 // open returns an account for a connection, or nil after closing c. While earlier connections are
 // being closed it waits up to grantWait for one of them, as the client may well complete its requests.
+// After a wait in vain it refuses others at once until one has closed, since they wait behind each other.
 func (p *Part) open(c io.Closer, owner func(*Account) aborter) (a *Account) {
 	timeout := time.After(grantWait)
 	for {
 		p.mu.Lock()
 		a, victims := p.budget.Open(p.now())
-		freed, mayFit := p.freed, a == nil && p.budget.Closing() > 0
+		freed, mayFit := p.freed, a == nil && p.budget.Closing() > 0 && !p.isStuck
 		if a != nil {
 			p.owners[a] = owner(a)
 		}
@@ -215,11 +217,15 @@
 		if a != nil {
 			return a
 		}
-		if !mayFit || !p.awaitFreed(freed, timeout) {
-			p.count(CauseConnections)
-			_ = c.Close()
-			return nil
+		if mayFit && p.awaitFreed(freed, timeout) {
+			continue
 		}
+		p.mu.Lock()
+		p.isStuck = p.isStuck || mayFit
+		p.refused[CauseConnections]++
+		p.mu.Unlock()
+		_ = c.Close()
+		return nil
 	}
 }
 
@@ -294,6 +300,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget.Close(a)
+	p.isStuck = false
 	delete(p.owners, a)
 	p.signalLocked()
 }
--- a/intake/link_test.go
+++ b/intake/link_test.go
@@ -13,21 +13,44 @@
 func TestPeerIsRefusedWhileOthersAreClosed(t *testing.T) {
 	g := intake.NewGate(intake.Options{Machine: intake.Machine{MemoryMB: 96, MaxDescriptors: 400}})
 	defer g.Close()
-	admit := func() *intake.Link {
-		c, peer := net.Pipe()
-		t.Cleanup(func() { _ = peer.Close() })
-		return g.Links.Admit(c)
+	flood := fillLinks(t, g)
+	time.AfterFunc(20*time.Millisecond, func() { _ = flood[0].Close() })
+	if admit(t, g) == nil {
+		t.Error("the peer was refused")
 	}
-	var flood []*intake.Link
-	for range 140 { // 76 links, and 64 that are being closed
-		l := admit()
-		if l == nil {
-			t.Fatalf("link %d was refused", len(flood))
+}
+
+// TestFloodHoldsUpTheListener guards against connections that wait behind each other while those that are being
+// closed do not end.
+func TestFloodHoldsUpTheListener(t *testing.T) {
+	g := intake.NewGate(intake.Options{Machine: intake.Machine{MemoryMB: 96, MaxDescriptors: 400}})
+	defer g.Close()
+	fillLinks(t, g)
+	startedAt := time.Now()
+	for range 20 {
+		if admit(t, g) != nil {
+			t.Error("a link beyond the limit was admitted")
 		}
-		flood = append(flood, l)
 	}
-	time.AfterFunc(20*time.Millisecond, func() { _ = flood[0].Close() })
-	if admit() == nil {
-		t.Error("the peer was refused")
+	if took := time.Since(startedAt); took > time.Second {
+		t.Errorf("20 links were refused within %v, want it within a second", took)
+	}
+}
+
+// fillLinks admits 76 links, and 64 for which others are being closed.
+func fillLinks(t *testing.T, g *intake.Gate) (links []*intake.Link) {
+	for range 140 {
+		l := admit(t, g)
+		if l == nil {
+			t.Fatalf("link %d was refused", len(links))
+		}
+		links = append(links, l)
 	}
+	return links
+}
+
+func admit(t *testing.T, g *intake.Gate) *intake.Link {
+	c, peer := net.Pipe()
+	t.Cleanup(func() { _ = peer.Close() })
+	return g.Links.Admit(c)
 }
