Decide in one place which home keeps the registered agents

No change in what is kept: the first home of a site reads the agents once when it becomes first or its term changes.

--- a/site/home_term.go
+++ b/site/home_term.go
@@ -27,11 +27,10 @@
 	wasAlone := h.wasAlone
 	h.wasHome, h.wasAlone = isHome, isAlone
 	h.core.ShareAgents(isHome && !isAlone)
-	switch {
-	case !isHome || homes[0].Life != h.e.life:
-		h.keepRegistry(0)
-	case !isAlone:
+	if isHome && homes[0].Life == h.e.life {
 		h.keepRegistry(homes[0].Term)
+	} else {
+		h.keepRegistry(0)
 	}
 	switch {
 	case isAlone && (!wasAlone || homes[0].Term != h.term):
@@ -84,8 +83,6 @@
 	if !complete {
 		agents = append(agents, schedule.UnknownAgent)
 	}
-	h.keepRegistry(0) // the agents are read anew
-	h.keepRegistry(term)
 	h.core.BeginTerm(now, agents, lives, now.Add(formerRunsEndAfter))
 	h.lastLinkUpdate = time.Time{} // the agents are asked at once
 	h.notify()
--- a/site/home_term_test.go
+++ b/site/home_term_test.go
@@ -39,6 +39,7 @@
 			}
 			h.mu.Lock()
 			h.wasAlone = true
+			h.keepRegistry(1)
 			h.beginTerm(now, 1, nil)
 			h.mu.Unlock()
 			if tc.registered != nil {
