--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -263,7 +263,7 @@
 
 // storeHeadStart is how long an entry that has a configuration waits for a newer one from the store
 // before it fetches it from another entry.
-const storeHeadStart = 500 * time.Millisecond
+const storeHeadStart = 200 * time.Millisecond
 
 const fetchTimeout = time.Second
 
