--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -101,8 +101,9 @@
 // AwaitsUnknownAgent reports whether UnknownAgent is awaited.
 func (c *Core) AwaitsUnknownAgent() bool { return c.AwaitsAgent(UnknownAgent) }
 
-// AgentsKnown records that there are no agents but the given ones, which replace UnknownAgent.
-func (c *Core) AgentsKnown(now time.Time, agents []string) {
+// AgentsKnown records that there are no agents but the given ones, which replace UnknownAgent. Those that are
+// only registered may have left long ago, and are awaited until the time until.
+func (c *Core) AgentsKnown(now time.Time, agents, registered []string, until time.Time) {
 	unknown, ok := c.earlier.agents[UnknownAgent]
 	if !ok {
 		return
@@ -113,6 +114,15 @@
 			c.earlier.agents[agent] = unknown
 		}
 	}
+	for _, agent := range registered {
+		if _, ok := c.targets[agent]; !ok && !slices.Contains(agents, agent) {
+			a := unknown
+			if until.Before(a.until) {
+				a.until = until
+			}
+			c.earlier.agents[agent] = a
+		}
+	}
 	c.expireRunLists(now)
 	c.releaseSealed(now)
 	c.placeWaiting(now)
--- a/site/home_change.go
+++ b/site/home_change.go
@@ -43,6 +43,7 @@
 		}
 		if now.Sub(h.e.startedAt) < formerRunsEndAfter { // it knows no homes that were lost before
 			h.core.AwaitHome(now, "", now.Add(formerRunsEndAfter), func(string) bool { return true })
+			h.core.AwaitHome(now, lifeOfRegistered, now.Add(formerRunsEndAfter), func(string) bool { return true })
 			go h.awaitAgentsOf(roster.Member{})
 		}
 	}
@@ -125,13 +126,19 @@
 // awaitAgentsOf has jobs wait for the agents which may run jobs of a lost home.
 func (h *home) awaitAgentsOf(m roster.Member) {
 	agents, complete := h.e.agentsToList(h.e.now(), m.Agents)
+	var registered []string // only
 	if !complete {
-		agents, complete = h.e.registeredAgents(agents)
+		var all []string
+		all, complete = h.e.registeredAgents(agents)
+		registered = all[len(agents):]
 		most, _ := h.e.agentsOfOthers(h.e.now(), m.Agents)
-		complete = complete && len(agents) >= most
+		complete = complete && len(all) >= most
 	}
-	if !complete || len(agents) > maxSealingAgents {
-		agents = nil
+	if m.Life != "" {
+		agents, registered = append(agents, registered...), nil
+	}
+	if !complete || len(agents)+len(registered) > maxSealingAgents {
+		agents, registered = nil, nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -140,7 +147,14 @@
 	}
 	now := h.e.now()
 	h.core.HomeLost(now, m.Life, agents, now.Add(formerRunsEndAfter))
-	for _, a := range agents {
+	switch {
+	case m.Life != "":
+	case len(registered) > 0:
+		h.core.HomeLost(now, lifeOfRegistered, registered, now.Add(registeredAgentWait))
+	default:
+		h.core.HomeListed(now, now, lifeOfRegistered)
+	}
+	for _, a := range append(agents, registered...) {
 		if _, ok := h.links[a]; !ok {
 			h.links[a] = newLink(h, a)
 		}
@@ -148,6 +162,9 @@
 	h.deliverDecisions()
 }
 
+// lifeOfRegistered stands for lost homes whose agents are only known from the store.
+const lifeOfRegistered = "registered"
+
 // hasOpenJobs reports whether jobs are open at another home, as it has said last.
 func (e *Entry) hasOpenJobs(m roster.Member) bool {
 	e.mu.Lock()
--- a/site/home_registry.go
+++ b/site/home_registry.go
@@ -26,6 +26,10 @@
 // key is the address.
 const agentsPrefix = "masticbay/agents/"
 
+// registeredAgentWait is how long an agent is awaited that is in the store and has not announced itself. It may
+// have left since.
+const registeredAgentWait = 300 * time.Millisecond
+
 // registryRetryInterval is the time between calls of the store that fail.
 const registryRetryInterval = 250 * time.Millisecond
 
--- a/site/home_term.go
+++ b/site/home_term.go
@@ -105,11 +105,12 @@
 	_, agentsOfFormer := h.e.homesToAsk(now)
 	agents, _, _ := h.e.agentsSeen(now, 0)
 	most, isKnown := h.e.agentsOfOthers(now, agentsOfFormer)
+	var registered []string
 	if h.registry.wasRead() && !h.e.isIsolated() && (!isKnown || len(agents) < most) {
-		agents, isKnown = union(agents, h.registry.sorted()), true
+		registered, isKnown = h.registry.sorted(), true
 	}
-	if isKnown && len(agents) >= most {
-		h.core.AgentsKnown(now, agents)
+	if isKnown && len(union(agents, registered)) >= most {
+		h.core.AgentsKnown(now, agents, registered, now.Add(registeredAgentWait))
 	}
 }
 
