Let a new home find the other entries before it asks registered agents

It had asked all registered agents by then, under the higher term, and they came back 0.45 s later.

A home asks agents that have not announced themselves 0.12 s after it has read the list, when it is in contact with the other entries.

--- a/site/home_registry.go
+++ b/site/home_registry.go
@@ -37,14 +37,18 @@
 
 func (r *agentRegistry) sorted() []string { return slices.Sorted(maps.Keys(r.agents)) }
 
-// agentsToAsk returns the agents in the store until those that are left must have announced themselves.
+// agentsToAsk returns the agents in the store until those that are left must have announced themselves. A home
+// that has just begun its term may learn of another one, and must not take the agents away from it.
 func (r *agentRegistry) agentsToAsk(now time.Time) []string {
-	if now.Sub(r.readAt) > agentContactTimeout {
+	if age := now.Sub(r.readAt); age < registryAskDelay || age > agentContactTimeout {
 		return nil
 	}
 	return r.sorted()
 }
 
+// registryAskDelay is the time in which a new home is in contact with the other entries.
+const registryAskDelay = 120 * time.Millisecond
+
 // keepRegistry has this home keep the registry in a term, or not any more if the term is 0. The caller holds
 // mu.
 func (h *home) keepRegistry(term uint64) {
