--- a/failure/fleet_again_test.go
+++ b/failure/fleet_again_test.go
@@ -36,7 +36,6 @@
 		for _, duration := range []time.Duration{387 * time.Millisecond, 391 * time.Millisecond, 395 * time.Millisecond, 399 * time.Millisecond} {
 			for range 3 {
 				t.Run(fmt.Sprint("after ", at, " for ", duration), func(t *testing.T) {
-					t.Parallel()
 					runWithFleet(t, func(_ *testing.T, s *fleet) {
 						var callers sync.WaitGroup
 						until := time.Now().Add(5 * time.Second)
--- a/failure/fleet_candidates_test.go
+++ b/failure/fleet_candidates_test.go
@@ -58,7 +58,6 @@
 		{name: "first candidate full at the first submission", filledBefore: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithCells(t, fleetAgents/2, func(t *testing.T, s *fleet) {
 				s.wantCells(2)
 				if tc.filledBefore {
--- a/failure/fleet_chain_test.go
+++ b/failure/fleet_chain_test.go
@@ -29,7 +29,6 @@
 	} {
 		for _, after := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond} {
 			t.Run(fmt.Sprint(tc.name, " after ", after), func(t *testing.T) {
-				t.Parallel()
 				runWithFleet(t, func(_ *testing.T, s *fleet) {
 					home := s.home()
 					done := s.submitLate(home+1, 8*time.Second)
--- a/failure/fleet_evacuation_test.go
+++ b/failure/fleet_evacuation_test.go
@@ -100,7 +100,6 @@
 		{name: "malformed keys", limit: 100 * time.Millisecond, inject: func(s *fleet) { s.evacuate("", "a/b", "north\x00", strings.Repeat("x", 5000)) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWith(t, 0, evacuateTime, func(t *testing.T, s *fleet) {
 				s.loadMeanwhile(12*time.Second, func() {
 					time.Sleep(time.Second)
@@ -188,7 +187,6 @@
 func TestRestartDuringAnEvacuation(t *testing.T) {
 	for name, faults := range map[string]standin.StoreFaults{"store answers": {}, "store down": {Down: true}} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			runWith(t, 0, evacuateTime, func(t *testing.T, s *fleet) {
 				if _, ok := s.submitOnce(0, "1eeeeeeeeeeeeee1"); !ok {
 					t.Fatal("job before not completed")
@@ -267,7 +265,6 @@
 		"nothing fails": {}, "watches hear nothing": {DropWatchEvents: true}, "history is gone": {HistoryGone: true}, "store down": {Down: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			runWith(t, 0, evacuateTime, func(t *testing.T, s *fleet) {
 				s.store.SetFaults(faults)
 				s.mu.Lock()
--- a/failure/fleet_faults_test.go
+++ b/failure/fleet_faults_test.go
@@ -139,7 +139,6 @@
 func TestFleetUnderFaults(t *testing.T) {
 	for _, tc := range fleetFaults {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithFleet(t, func(_ *testing.T, s *fleet) {
 				done := make(chan struct{})
 				go func() {
@@ -161,7 +160,6 @@
 func TestDividedFleetUnderFaults(t *testing.T) {
 	for _, tc := range fleetFaults {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
 				s.wantCells(2)
 				done := make(chan struct{})
--- a/failure/fleet_pairs_test.go
+++ b/failure/fleet_pairs_test.go
@@ -35,7 +35,6 @@
 	rng.Shuffle(len(pairs), func(i, j int) { pairs[i], pairs[j] = pairs[j], pairs[i] })
 	for _, p := range pairs[:min(*pairsFlag, len(pairs))] {
 		t.Run(p[0].name+"+"+p[1].name, func(t *testing.T) {
-			t.Parallel()
 			runWithFleet(t, func(_ *testing.T, s *fleet) {
 				s.lateJobs = true
 				var faults sync.WaitGroup
--- a/failure/fleet_reset_test.go
+++ b/failure/fleet_reset_test.go
@@ -22,7 +22,6 @@
 		{"silent", 300 * time.Millisecond, func(s *fleet, home int) { s.network.silence(fmt.Sprint("e", home)) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithFleet(t, func(t *testing.T, s *fleet) {
 				home := s.home()
 				submittedAt := time.Now()
--- a/failure/fleet_resubmit_test.go
+++ b/failure/fleet_resubmit_test.go
@@ -42,7 +42,6 @@
 // counted from the home, and before the caller submits its job again.
 func testUnseenCaller(t *testing.T, name string, first int, inject func(s *fleet, home int)) {
 	t.Run(name, func(t *testing.T) {
-		t.Parallel()
 		runWithFleet(t, func(_ *testing.T, s *fleet) {
 			home := s.home()
 			done := s.submitLateFrom("caller1", home+first, 200*time.Millisecond)
--- a/failure/fleet_return_cells_test.go
+++ b/failure/fleet_return_cells_test.go
@@ -93,7 +93,6 @@
 		for first := range 2 {
 			for _, after := range []time.Duration{0, 80 * time.Millisecond, 500 * time.Millisecond, retransmitDelay} {
 				t.Run(fmt.Sprintf("%s, at home %d, back after %v", change.name, first, after), func(t *testing.T) {
-					t.Parallel()
 					runWithCells(t, change.cellSize, func(_ *testing.T, s *fleet) { change.test(s, first, after) })
 				})
 			}
@@ -138,7 +137,6 @@
 	for _, after := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond} {
 		for entry := range fleetEntries {
 			t.Run(fmt.Sprintf("back %v after, at entry %d", after, entry), func(t *testing.T) {
-				t.Parallel()
 				runWithFleet(t, func(_ *testing.T, s *fleet) {
 					home := s.home()
 					done := s.submitLateFrom("caller1", home+1, 200*time.Millisecond)
@@ -164,7 +162,6 @@
 	for first := range 2 {
 		for _, after := range returnDelays {
 			t.Run(fmt.Sprintf("home %d, back after %v", first, after), func(t *testing.T) {
-				t.Parallel()
 				runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
 					r := s.rolesOf(first)
 					home, other := fmt.Sprint("e", r.home), fmt.Sprint("e", r.other)
@@ -190,7 +187,6 @@
 func TestSecondChangeOfHomesWithdrawsAJob(t *testing.T) {
 	for _, gap := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond} {
 		t.Run(fmt.Sprint("second change after ", gap), func(t *testing.T) {
-			t.Parallel()
 			runWithCells(t, 1, func(t *testing.T, s *fleet) {
 				r := s.rolesOf(0)
 				s.killEntry(r.third)
--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -26,7 +26,6 @@
 	for _, delay := range returnDelays {
 		for entry := range fleetEntries {
 			t.Run(fmt.Sprintf("%s, back after %v at entry %d", name, delay, entry), func(t *testing.T) {
-				t.Parallel()
 				runWithFleet(t, func(_ *testing.T, s *fleet) {
 					home := s.home()
 					f(s, home, home+entry, delay)
@@ -190,7 +189,6 @@
 	for _, downtime := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
 		for entry := range fleetEntries {
 			t.Run(fmt.Sprintf("entries killed for %v, back at entry %d", downtime, entry), func(t *testing.T) {
-				t.Parallel()
 				runWithCells(t, fleetAgents/2, func(_ *testing.T, s *fleet) {
 					s.killAgent(2)
 					s.killAgent(3)
@@ -217,7 +215,6 @@
 	for _, downtime := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
 		for _, delay := range []time.Duration{0, 80 * time.Millisecond} {
 			t.Run(fmt.Sprintf("entries killed for %v, back after %v", downtime, delay), func(t *testing.T) {
-				t.Parallel()
 				runWithFleet(t, func(_ *testing.T, s *fleet) {
 					for i := 1; i < fleetAgents; i++ {
 						s.killAgent(i)
--- a/failure/fleet_stored_test.go
+++ b/failure/fleet_stored_test.go
@@ -271,7 +271,6 @@
 func TestStoredJobsUnderFaults(t *testing.T) {
 	for _, tc := range append(storedFaults, fleetFaults...) {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithFleet(t, func(t *testing.T, s *fleet) {
 				done := make(chan struct{})
 				go func() {
@@ -302,7 +301,6 @@
 	}
 	for _, tc := range []fleetFault{{"beside other jobs", 1, beside}, fleetFaults[0]} {
 		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
 			runWithCells(t, fleetAgents/2, func(t *testing.T, s *fleet) {
 				s.wantCells(2)
 				done := make(chan struct{})
--- a/failure/fleet_twice_test.go
+++ b/failure/fleet_twice_test.go
@@ -97,7 +97,6 @@
 func TestRunOfPausedAgentOverlapsFailover(t *testing.T) {
 	for _, pauseAfter := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond} {
 		t.Run(pauseAfter.String(), func(t *testing.T) {
-			t.Parallel()
 			runWithFleet(t, func(_ *testing.T, s *fleet) {
 				home := s.home()
 				done := s.submitLate(home+1, 8*time.Second)
@@ -213,7 +212,6 @@
 	} {
 		for _, leaves := range []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond} {
 			t.Run(fmt.Sprint(tc.name, ", the caller leaves after ", leaves), func(t *testing.T) {
-				t.Parallel()
 				runWithFleet(t, func(_ *testing.T, s *fleet) {
 					home := s.home()
 					done := s.submitLate(home+1, leaves)
