Add the review's failing test of entries that stay ready

The test is here now and listed as known red 39, with the reason that its cases show: an entry that is cut off from two others takes the agents from their home.

--- a/failure/fleet_return_test.go
+++ b/failure/fleet_return_test.go
@@ -267,14 +267,8 @@
 		home := s.home()
 		wantReady := func(want int) {
 			t.Helper()
-			client := &http.Client{Transport: &http.Transport{DialContext: s.dial("balancer"), DisableKeepAlives: true}}
-			reply, err := client.Get(fmt.Sprintf("http://r%d%s", home, platform.ReadyPath))
-			if err != nil {
-				t.Fatal(err)
-			}
-			_ = reply.Body.Close()
-			if reply.StatusCode != want {
-				t.Errorf("ready: %d, want %d", reply.StatusCode, want)
+			if got := s.readiness(home); got != want {
+				t.Errorf("ready: %d, want %d", got, want)
 			}
 		}
 		wantReady(http.StatusOK)
@@ -290,6 +284,44 @@
 	})
 }
 
+// readiness returns the status of an entry's readiness page.
+func (s *fleet) readiness(entry int) int {
+	client := &http.Client{Transport: &http.Transport{DialContext: s.dial("balancer"), DisableKeepAlives: true}}
+	reply, err := client.Get(fmt.Sprintf("http://r%d%s", entry, platform.ReadyPath))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = reply.Body.Close()
+	return reply.StatusCode
+}
+
+// TestEntryThatRunsNoJobsIsReady guards against an entry that a balancer prefers as it rejects jobs at once: an
+// entry that is cut off from the others elects itself, and all agents or one of them follow it.
+func TestEntryThatRunsNoJobsIsReady(t *testing.T) {
+	if !*runKnownRed {
+		t.Skip("KNOWN-RED.txt, 39")
+	}
+	for _, cutAgents := range []int{0, fleetAgents - 1} {
+		t.Run(fmt.Sprintf("%d agents cut off", cutAgents), func(t *testing.T) {
+			runWithFleet(t, func(t *testing.T, s *fleet) {
+				const duration = 10 * time.Second
+				isolated := (s.home() + 1) % fleetEntries
+				s.cutHomeFromEntries(isolated, duration)
+				for a := fleetAgents - cutAgents; a < fleetAgents; a++ {
+					s.cutFor(fmt.Sprint("a", a), fmt.Sprint("e", isolated), duration)
+				}
+				time.Sleep(4 * time.Second)
+				for e := range fleetEntries {
+					if _, ok := s.submitOnce(e, fmt.Sprintf("a%015x", e)); !ok && s.readiness(e) == http.StatusOK {
+						t.Errorf("entry %d is ready, and does not run jobs", e)
+					}
+				}
+				time.Sleep(duration)
+			})
+		})
+	}
+}
+
 // TestPartitionOverlapsResubmission guards against a double run: a home and the agents of a job are cut off from
 // the others, and the caller of the job submits it on the other side.
 func TestPartitionOverlapsResubmission(t *testing.T) {
