Pause before a refused commit of the registered agents is repeated

Found by reading the whole change once more. A store that answered reads and refused writes got the commit of a home again as soon as the list had been read anew, some 400 times a second, beside the budget of the whole fleet. It came with the reading after a commit without an answer.

The home waits 0.25 s before it reads the list again. The links are no longer updated out of turn when the list was read, since the agents are asked later.

--- a/site/home_registry.go
+++ b/site/home_registry.go
@@ -93,7 +93,6 @@
 	for _, it := range items {
 		h.registry.agents[strings.TrimPrefix(it.Key, agentsPrefix)] = true
 	}
-	h.lastLinkUpdate = time.Time{} // the agents are asked at once
 	h.notify()
 }
 
@@ -164,7 +163,10 @@
 	if err != nil {
 		h.e.log.Warn().Err(err).Msg("agents not stored; will read them again")
 		r.agents = nil // the store may have carried the commit out
-		go h.readRegistry(term)
+		go func() {
+			sleep(h.e.ending, registryRetryInterval)
+			h.readRegistry(term)
+		}()
 		return
 	}
 	for _, w := range c.Writes {
--- a/site/home_term_test.go
+++ b/site/home_term_test.go
@@ -1,10 +1,16 @@
 package site
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"masticbay/clock"
+	"masticbay/platform"
+	"masticbay/platform/standin"
 	"masticbay/roster"
 	"masticbay/store"
 )
@@ -96,3 +102,34 @@
 		t.Errorf("the home takes %v for registered, want it to read them again", h.registry.sorted())
 	}
 }
+
+// TestRefusedCommitIsRepeatedWithoutPause guards against a home that loads a store which answers reads and
+// refuses writes.
+func TestRefusedCommitIsRepeatedWithoutPause(t *testing.T) {
+	var commits atomic.Int64
+	reads := standin.NewStore(store.NewMemory(clock.System{})).Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			commits.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		reads.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	h := newHome(testEntry())
+	defer h.close()
+	h.e.store = platform.NewStore(srv.Listener.Addr().String(), nil)
+	h.e.agents = map[string]agentContact{"a1": {lastAnnounced: h.e.now()}}
+	h.mu.Lock()
+	h.keepRegistry(1)
+	h.mu.Unlock()
+	for end := time.Now().Add(2 * registryRetryInterval); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		h.mu.Lock()
+		h.updateRegistry(h.e.now())
+		h.mu.Unlock()
+	}
+	if n := commits.Load(); n == 0 || n > 3 {
+		t.Errorf("%d commits within %v, want one to three", n, 2*registryRetryInterval)
+	}
+}
