Add a failing case: ends of stored tasks are lost at a takeover of the ledger

The entry that wrote last was killed, 14 times in a minute, under stored jobs. A confirmation of the tenure that a later reply had overtaken is applied all the same: it drops an end that the reply brought, which is then acknowledged. The task counts as running until the next takeover, and then runs again.

--- a/review/.driver-3/executor.go
+++ b/review/.driver-3/executor.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +22,13 @@
 
 // work is what a task does; clients send it as the job's spec.
 type work struct {
-	Ms    int  `json:"ms"`    // run time
-	Lasts bool `json:"lasts"` // it runs until it is stopped
+	Ms    int    `json:"ms"`    // run time
+	Lasts bool   `json:"lasts"` // it runs until it is stopped
+	Fails int    `json:"fails"` // of a hundred runs, those that fail
+	Gang  int    `json:"gang"`  // number of tasks that work only together
+	Save  int    `json:"save"`  // ms between checkpoints; 0 for none
+	Max   int    `json:"max"`   // most tasks of the step on one executor
+	Label string `json:"label"`
 }
 
 // executor is a sound executor on the same machine as its agent.
@@ -51,12 +58,21 @@
 	drainAcked time.Time // first acknowledgement of a heartbeat that says draining
 	seq        int
 	off        bool // takes no calls and sends no heartbeats
+	lapsed     bool
+	lapsedAt   time.Time // when the lease lapsed last
+	lateShare  float64   // of the orders that get no answer and are carried out late
+	violations []string
 }
 
 type taskRun struct {
 	run       int
 	work      work
-	startedAt time.Time
+	startedAt time.Time // of its work, for a member of a gang when all are there
+	begunAt   time.Time
+	saved     string
+	savedAt   time.Time
+	progress  time.Duration // at the checkpoint with which it started
+	how       string        // the end that its gang has decided on
 }
 
 type endedRun struct {
@@ -64,6 +80,7 @@
 	task   string
 	run    int
 	how    string
+	saved  string
 }
 
 type startRecord struct {
@@ -79,9 +96,14 @@
 }
 
 type endRecord struct {
-	task string
-	how  string
-	at   time.Time
+	task   string
+	run    int
+	how    string
+	number uint64
+	born   time.Time
+	begun  time.Time
+	at     time.Time
+	acked  time.Time // when it was taken note of, unless the lease had lapsed since its end
 }
 
 // lastingStartup is how long a task that lasts takes until it is at work.
@@ -118,6 +140,7 @@
 	Run      int    `json:"run"`
 	Spec     string `json:"spec"`
 	UntilMs  int64  `json:"untilMs"`
+	Saved    string `json:"lastCheckpoint"`
 	Token    uint64 `json:"fencingToken"`
 	LastSeen uint64 `json:"lastSeen"`
 	WaitMs   int64  `json:"waitMs"`
@@ -131,6 +154,19 @@
 			return
 		}
 		e.mu.Lock()
+		if born := e.born; e.lateShare > 0 && rand.Float64() < e.lateShare {
+			e.mu.Unlock()
+			time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				if id := r.Header.Get("Expect-Instance"); (id == "" || id == e.id) && e.born == born {
+					o.WaitMs = 0
+					do(context.Background(), &o)
+				}
+			})
+			<-r.Context().Done()
+			return
+		}
 		status, body := http.StatusMisdirectedRequest, map[string]any{}
 		if id := r.Header.Get("Expect-Instance"); id == "" || id == e.id {
 			status, body = do(r.Context(), &o)
@@ -172,7 +208,28 @@
 	if json.Unmarshal([]byte(o.Spec), &w) != nil {
 		return http.StatusBadRequest, map[string]any{}
 	}
-	e.running[o.Task] = &taskRun{run: o.Run, work: w, startedAt: time.Now()}
+	r := &taskRun{run: o.Run, work: w, startedAt: time.Now(), begunAt: time.Now(), saved: o.Saved, savedAt: time.Now()}
+	if w.Max > 0 {
+		n := 1
+		for t := range e.running {
+			if stepOf(t) == stepOf(o.Task) {
+				n++
+			}
+		}
+		if n > w.Max {
+			e.violations = append(e.violations, fmt.Sprintf("ROUTE: %s runs %d tasks of %s", e.id, n, stepOf(o.Task)))
+		}
+	}
+	if w.Label != "" && !slices.Contains(e.labels, w.Label) {
+		e.violations = append(e.violations, fmt.Sprintf("ROUTE: %s lacks %s for %s", e.id, w.Label, o.Task))
+	}
+	if v := checkpoints.check(o.Task, w.Gang > 0, o.Saved); v != "" {
+		e.violations = append(e.violations, v)
+	}
+	if w.Gang > 0 {
+		gangs.join(o.Task, o.Run, r)
+	}
+	e.running[o.Task] = r
 	e.starts = append(e.starts, startRecord{o.Task, o.Run, time.Now()})
 	e.rec.add(e.id, "starts %s run %d, token %d", o.Task, o.Run, o.Token)
 	return http.StatusOK, map[string]any{}
@@ -200,9 +257,7 @@
 	if o.UntilMs > 0 {
 		e.extend(o.UntilMs)
 	}
-	for len(e.ended) > 0 && e.ended[0].number <= o.LastSeen {
-		e.ended = e.ended[1:]
-	}
+	e.acknowledge(o.LastSeen)
 	if len(e.ended) == 0 && o.WaitMs > 0 {
 		changed := e.changed
 		e.mu.Unlock()
@@ -215,15 +270,37 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range e.running {
-		running = append(running, []any{task, r.run, "", r.percent(), 0})
+		running = append(running, []any{task, r.run, r.saved, r.percent(), 0})
 	}
 	for _, r := range e.ended[:min(len(e.ended), 500)] {
-		ended = append(ended, []any{r.number, r.task, r.run, r.how, ""})
+		ended = append(ended, []any{r.number, r.task, r.run, r.how, r.saved})
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
 
+// acknowledge forgets the ends up to a number. The caller holds mu.
+func (e *executor) acknowledge(lastSeen uint64) {
+	for len(e.ended) > 0 && e.ended[0].number <= lastSeen {
+		for i := len(e.ends) - 1; i >= 0; i-- {
+			r := &e.ends[i]
+			if r.born == e.born && r.number == e.ended[0].number {
+				if r.acked.IsZero() && e.lapsedAt.Before(r.at) {
+					r.acked = time.Now()
+				}
+				break
+			}
+		}
+		e.ended = e.ended[1:]
+	}
+}
+
+// works reports whether a run is at work, which a member of a gang is once all are there.
+func (r *taskRun) works() bool { return r.work.Gang == 0 || gangs.complete(r) }
+
 func (r *taskRun) percent() int {
+	if !r.works() {
+		return 0
+	}
 	elapsed := time.Since(r.startedAt)
 	switch {
 	case r.work.Lasts && elapsed >= lastingStartup:
@@ -240,8 +317,14 @@
 	delete(e.running, task)
 	e.highest[task] = max(e.highest[task], r.run)
 	e.lastEnd++
-	e.ended = append(e.ended, endedRun{e.lastEnd, task, r.run, how})
-	e.ends = append(e.ends, endRecord{task, how, time.Now()})
+	if r.work.Gang > 0 {
+		gangs.leave(task, r.run, how)
+	}
+	if r.work.Save > 0 && how == "stopped" && r.works() {
+		r.saved = checkpoints.issue(task, r.work.Gang > 0)
+	}
+	e.ended = append(e.ended, endedRun{e.lastEnd, task, r.run, how, r.saved})
+	e.ends = append(e.ends, endRecord{task: task, run: r.run, how: how, number: e.lastEnd, born: e.born, begun: r.begunAt, at: time.Now()})
 	e.rec.add(e.id, "end %d: %s run %d %s", e.lastEnd, task, r.run, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -252,18 +335,51 @@
 	for {
 		time.Sleep(time.Millisecond)
 		e.mu.Lock()
+		if e.clock() >= e.until {
+			if !e.lapsed {
+				e.lapsed, e.lapsedAt = true, time.Now()
+			}
+		} else {
+			e.lapsed = false
+		}
 		for task, r := range e.running {
+			how := ""
+			if r.work.Gang > 0 {
+				how = gangs.state(task, r)
+			}
+			if r.work.Save > 0 && r.works() && time.Since(r.savedAt) >= time.Duration(r.work.Save)*time.Millisecond {
+				r.saved, r.savedAt = checkpoints.issue(task, r.work.Gang > 0), time.Now()
+			}
 			switch {
 			case e.clock() >= e.until:
 				e.end(task, "lapsed")
+			case how != "":
+				e.end(task, how)
+			case r.work.Gang > 0 && !r.works():
 			case !r.work.Lasts && time.Since(r.startedAt) >= time.Duration(r.work.Ms)*time.Millisecond:
-				e.end(task, "done")
+				if rand.IntN(100) < r.work.Fails {
+					e.end(task, "failed")
+				} else {
+					e.end(task, "done")
+				}
 			}
 		}
 		e.mu.Unlock()
 	}
 }
 
+// crash ends all runs and starts the executor again, under the same id.
+func (e *executor) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rec.add(e.id, "crashes and starts again")
+	for task := range e.running {
+		e.end(task, "crashed")
+	}
+	e.born, e.token, e.until, e.ended, e.lastEnd, e.seq = time.Now(), 0, 0, nil, 0, 0
+	e.highest = make(map[string]int)
+}
+
 // beat returns the next heartbeat and whether it says that the executor drains.
 func (e *executor) beat() (body []byte, draining bool) {
 	e.mu.Lock()
--- a/review/.driver-3/main.go
+++ b/review/.driver-3/main.go
@@ -29,6 +29,8 @@
 	"latebeat": lateBeat,
 	"pending":  pendingAfterFailover,
 	"outage":   storeOutage,
+	"soak":     soak,
+	"lostend":  lostEnd,
 }
 
 func main() { os.Exit(run()) }
