--- a/review/.driver-3/executor.go
+++ b/review/.driver-3/executor.go
@@ -5,10 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,13 +20,8 @@
 
 // work is what a task does; clients send it as the job's spec.
 type work struct {
-	Ms    int    `json:"ms"`    // run time
-	Lasts bool   `json:"lasts"` // it runs until it is stopped
-	Fails int    `json:"fails"` // of a hundred runs, those that fail
-	Gang  int    `json:"gang"`  // number of tasks that work only together
-	Save  int    `json:"save"`  // ms between checkpoints; 0 for none
-	Max   int    `json:"max"`   // most tasks of the step on one executor
-	Label string `json:"label"`
+	Ms    int  `json:"ms"`    // run time
+	Lasts bool `json:"lasts"` // it runs until it is stopped
 }
 
 // executor is a sound executor on the same machine as its agent.
@@ -57,22 +50,14 @@
 	draining   bool
 	drainAcked time.Time // first acknowledgement of a heartbeat that says draining
 	seq        int
-	off        bool // takes no calls and sends no heartbeats
 	lapsed     bool
 	lapsedAt   time.Time // when the lease lapsed last
-	lateShare  float64   // of the orders that get no answer and are carried out late
-	violations []string
 }
 
 type taskRun struct {
 	run       int
 	work      work
-	startedAt time.Time // of its work, for a member of a gang when all are there
-	begunAt   time.Time
-	saved     string
-	savedAt   time.Time
-	progress  time.Duration // at the checkpoint with which it started
-	how       string        // the end that its gang has decided on
+	startedAt time.Time
 }
 
 type endedRun struct {
@@ -80,7 +65,6 @@
 	task   string
 	run    int
 	how    string
-	saved  string
 }
 
 type startRecord struct {
@@ -101,7 +85,6 @@
 	how    string
 	number uint64
 	born   time.Time
-	begun  time.Time
 	at     time.Time
 	acked  time.Time // when it was taken note of, unless the lease had lapsed since its end
 }
@@ -140,7 +123,6 @@
 	Run      int    `json:"run"`
 	Spec     string `json:"spec"`
 	UntilMs  int64  `json:"untilMs"`
-	Saved    string `json:"lastCheckpoint"`
 	Token    uint64 `json:"fencingToken"`
 	LastSeen uint64 `json:"lastSeen"`
 	WaitMs   int64  `json:"waitMs"`
@@ -154,19 +136,6 @@
 			return
 		}
 		e.mu.Lock()
-		if born := e.born; e.lateShare > 0 && rand.Float64() < e.lateShare {
-			e.mu.Unlock()
-			time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				if id := r.Header.Get("Expect-Instance"); (id == "" || id == e.id) && e.born == born {
-					o.WaitMs = 0
-					do(context.Background(), &o)
-				}
-			})
-			<-r.Context().Done()
-			return
-		}
 		status, body := http.StatusMisdirectedRequest, map[string]any{}
 		if id := r.Header.Get("Expect-Instance"); id == "" || id == e.id {
 			status, body = do(r.Context(), &o)
@@ -187,8 +156,6 @@
 	e.until = max(e.until, min(time.Duration(untilMs)*time.Millisecond, e.clock()+maxHold))
 }
 
-// used returns the room that runs take. A task's room is in its spec as the whole
-// executor's share, so only their number counts.
 func (e *executor) start(_ context.Context, o *order) (int, map[string]any) {
 	if o.Token < e.token {
 		return refuse("fence")
@@ -208,28 +175,7 @@
 	if json.Unmarshal([]byte(o.Spec), &w) != nil {
 		return http.StatusBadRequest, map[string]any{}
 	}
-	r := &taskRun{run: o.Run, work: w, startedAt: time.Now(), begunAt: time.Now(), saved: o.Saved, savedAt: time.Now()}
-	if w.Max > 0 {
-		n := 1
-		for t := range e.running {
-			if stepOf(t) == stepOf(o.Task) {
-				n++
-			}
-		}
-		if n > w.Max {
-			e.violations = append(e.violations, fmt.Sprintf("ROUTE: %s runs %d tasks of %s", e.id, n, stepOf(o.Task)))
-		}
-	}
-	if w.Label != "" && !slices.Contains(e.labels, w.Label) {
-		e.violations = append(e.violations, fmt.Sprintf("ROUTE: %s lacks %s for %s", e.id, w.Label, o.Task))
-	}
-	if v := checkpoints.check(o.Task, w.Gang > 0, o.Saved); v != "" {
-		e.violations = append(e.violations, v)
-	}
-	if w.Gang > 0 {
-		gangs.join(o.Task, o.Run, r)
-	}
-	e.running[o.Task] = r
+	e.running[o.Task] = &taskRun{run: o.Run, work: w, startedAt: time.Now()}
 	e.starts = append(e.starts, startRecord{o.Task, o.Run, time.Now()})
 	e.rec.add(e.id, "starts %s run %d, token %d", o.Task, o.Run, o.Token)
 	return http.StatusOK, map[string]any{}
@@ -270,10 +216,10 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range e.running {
-		running = append(running, []any{task, r.run, r.saved, r.percent(), 0})
+		running = append(running, []any{task, r.run, "", r.percent(), 0})
 	}
 	for _, r := range e.ended[:min(len(e.ended), 500)] {
-		ended = append(ended, []any{r.number, r.task, r.run, r.how, r.saved})
+		ended = append(ended, []any{r.number, r.task, r.run, r.how, ""})
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
@@ -294,13 +240,7 @@
 	}
 }
 
-// works reports whether a run is at work, which a member of a gang is once all are there.
-func (r *taskRun) works() bool { return r.work.Gang == 0 || gangs.complete(r) }
-
 func (r *taskRun) percent() int {
-	if !r.works() {
-		return 0
-	}
 	elapsed := time.Since(r.startedAt)
 	switch {
 	case r.work.Lasts && elapsed >= lastingStartup:
@@ -317,14 +257,8 @@
 	delete(e.running, task)
 	e.highest[task] = max(e.highest[task], r.run)
 	e.lastEnd++
-	if r.work.Gang > 0 {
-		gangs.leave(task, r.run, how)
-	}
-	if r.work.Save > 0 && how == "stopped" && r.works() {
-		r.saved = checkpoints.issue(task, r.work.Gang > 0)
-	}
-	e.ended = append(e.ended, endedRun{e.lastEnd, task, r.run, how, r.saved})
-	e.ends = append(e.ends, endRecord{task: task, run: r.run, how: how, number: e.lastEnd, born: e.born, begun: r.begunAt, at: time.Now()})
+	e.ended = append(e.ended, endedRun{e.lastEnd, task, r.run, how})
+	e.ends = append(e.ends, endRecord{task: task, run: r.run, how: how, number: e.lastEnd, born: e.born, at: time.Now()})
 	e.rec.add(e.id, "end %d: %s run %d %s", e.lastEnd, task, r.run, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -343,43 +277,17 @@
 			e.lapsed = false
 		}
 		for task, r := range e.running {
-			how := ""
-			if r.work.Gang > 0 {
-				how = gangs.state(task, r)
-			}
-			if r.work.Save > 0 && r.works() && time.Since(r.savedAt) >= time.Duration(r.work.Save)*time.Millisecond {
-				r.saved, r.savedAt = checkpoints.issue(task, r.work.Gang > 0), time.Now()
-			}
 			switch {
 			case e.clock() >= e.until:
 				e.end(task, "lapsed")
-			case how != "":
-				e.end(task, how)
-			case r.work.Gang > 0 && !r.works():
 			case !r.work.Lasts && time.Since(r.startedAt) >= time.Duration(r.work.Ms)*time.Millisecond:
-				if rand.IntN(100) < r.work.Fails {
-					e.end(task, "failed")
-				} else {
-					e.end(task, "done")
-				}
+				e.end(task, "done")
 			}
 		}
 		e.mu.Unlock()
 	}
 }
 
-// crash ends all runs and starts the executor again, under the same id.
-func (e *executor) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.rec.add(e.id, "crashes and starts again")
-	for task := range e.running {
-		e.end(task, "crashed")
-	}
-	e.born, e.token, e.until, e.ended, e.lastEnd, e.seq = time.Now(), 0, 0, nil, 0, 0
-	e.highest = make(map[string]int)
-}
-
 // beat returns the next heartbeat and whether it says that the executor drains.
 func (e *executor) beat() (body []byte, draining bool) {
 	e.mu.Lock()
@@ -413,11 +321,8 @@
 func (e *executor) sendHeartbeats() {
 	for {
 		e.mu.Lock()
-		off, send := e.off, e.send
+		send := e.send
 		e.mu.Unlock()
-		if off {
-			return
-		}
 		body, draining := e.beat()
 		if !send(body) {
 			time.Sleep(250 * time.Millisecond)
--- a/review/.driver-3/main.go
+++ b/review/.driver-3/main.go
@@ -29,7 +29,6 @@
 	"latebeat": lateBeat,
 	"pending":  pendingAfterFailover,
 	"outage":   storeOutage,
-	"soak":     soak,
 	"lostend":  lostEnd,
 }
 
--- a/review/.driver-3/site.go
+++ b/review/.driver-3/site.go
@@ -1,16 +1,12 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -59,8 +55,6 @@
 
 	mu          sync.Mutex
 	silentUntil time.Time // the store answers nothing before
-	lostShare   float64   // of the writes that are done and not answered
-	lateWrites  float64   // of the writes that are done late and not answered
 	lastWriter  string    // node whose conditional write the store answered last
 }
 
@@ -221,13 +215,6 @@
 			return
 		}
 		time.Sleep(4 * time.Millisecond) // the usual answer time
-		if s.loses(w, r, inner) {
-			return
-		}
-		if os.Getenv("SOAK_TRACE") != "" && r.URL.Path == "/masticbay/kv-txn" {
-			s.traceWrite(name, w, r, inner)
-			return
-		}
 		inner.ServeHTTP(w, r)
 		if r.URL.Path == "/masticbay/kv-txn" {
 			s.mu.Lock()
@@ -237,75 +224,6 @@
 	})
 }
 
-// traceWrite records a write and its result.
-func (s *site) traceWrite(name string, w http.ResponseWriter, r *http.Request, inner http.Handler) {
-	raw, _ := io.ReadAll(r.Body)
-	r.Body = io.NopCloser(bytes.NewReader(raw))
-	var b struct {
-		ExpectedRev []struct {
-			Key      string
-			Revision uint64
-		}
-		Writes []struct {
-			Key   string
-			Value []byte
-		}
-		Deletes []string
-	}
-	_ = json.Unmarshal(raw, &b)
-	rw := httptest.NewRecorder()
-	inner.ServeHTTP(rw, r)
-	text := fmt.Sprintf("%v", b.ExpectedRev)
-	for _, x := range b.Writes {
-		if strings.Contains(x.Key, "/job/") {
-			text += " W " + x.Key
-		} else {
-			text += " W " + x.Key + "=" + string(x.Value)
-		}
-	}
-	for _, x := range b.Deletes {
-		text += " D " + x
-	}
-	s.rec.add("store", "%s %s -> %d %s", name, text, rw.Code, rw.Body.String())
-	s.mu.Lock()
-	s.lastWriter = name
-	s.mu.Unlock()
-	for k, v := range rw.Header() {
-		w.Header()[k] = v
-	}
-	w.WriteHeader(rw.Code)
-	_, _ = w.Write(rw.Body.Bytes())
-}
-
-// loses carries a write out, now or later, without an answer, if that is the fault.
-func (s *site) loses(_ http.ResponseWriter, r *http.Request, inner http.Handler) bool {
-	s.mu.Lock()
-	lost, late := s.lostShare, s.lateWrites
-	s.mu.Unlock()
-	if r.URL.Path != "/masticbay/kv-txn" || rand.Float64() >= lost+late {
-		return false
-	}
-	raw, err := io.ReadAll(r.Body)
-	if err != nil {
-		return true
-	}
-	again := r.Clone(context.Background())
-	again.Body = io.NopCloser(bytes.NewReader(raw))
-	delay := time.Duration(0)
-	if rand.Float64()*(lost+late) < late {
-		delay = time.Second + rand.N(5*time.Second)
-	}
-	time.AfterFunc(delay, func() {
-		if os.Getenv("SOAK_TRACE") != "" {
-			s.traceWrite("late", httptest.NewRecorder(), again, inner)
-			return
-		}
-		inner.ServeHTTP(httptest.NewRecorder(), again)
-	})
-	<-r.Context().Done()
-	return true
-}
-
 func (s *site) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
