--- a/review/.driver-3/executor.go
+++ b/review/.driver-3/executor.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -28,6 +29,7 @@
 type executor struct {
 	rec     *recorder
 	id      string
+	address string // where the agent calls it
 	control string // where its heartbeats go
 	spec    executorSpec
 	labels  []string
@@ -52,6 +54,10 @@
 	seq        int
 	lapsed     bool
 	lapsedAt   time.Time // when the lease lapsed last
+	server     *http.Server
+	down       bool
+	lateShare  float64 // of the starts that are held up
+	lateUntil  time.Time
 }
 
 type taskRun struct {
@@ -102,20 +108,68 @@
 		rec: rec, id: id, control: fmt.Sprintf("%s:%d", ip, controlPort), spec: spec, labels: []string{"a", fmt.Sprintf("r1-%d", i/3)}, born: time.Now(),
 		http: &http.Client{Timeout: time.Second}, running: make(map[string]*taskRun), highest: make(map[string]int), changed: make(chan struct{}),
 	}
-	e.send = e.post
-	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, workerPort))
-	if err != nil {
+	e.send, e.address = e.post, fmt.Sprintf("%s:%d", ip, workerPort)
+	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /masticbay/run-start", e.handle(e.start))
-	mux.HandleFunc("POST /masticbay/run-stop", e.handle(e.stop))
-	mux.HandleFunc("POST /masticbay/hold", e.handle(e.hold))
-	go func() { _ = http.Serve(ln, mux) }()
 	go e.tick()
 	return e, nil
 }
 
+// listen serves the agent.
+func (e *executor) listen() error {
+	ln, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /masticbay/run-start", e.handle(true, e.start))
+	mux.HandleFunc("POST /masticbay/run-stop", e.handle(false, e.stop))
+	mux.HandleFunc("POST /masticbay/hold", e.handle(false, e.hold))
+	server := &http.Server{Handler: mux}
+	e.mu.Lock()
+	e.server = server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(ln) }()
+	return nil
+}
+
+// crash ends all runs, and starts the executor again under its id after a while. It then knows
+// nothing of before.
+func (e *executor) crash(d time.Duration) error {
+	e.mu.Lock()
+	e.rec.add(e.id, "crashes, and is back after %v", d)
+	e.down = true
+	server := e.server
+	for task := range e.running {
+		e.end(task, "crashed")
+	}
+	e.mu.Unlock()
+	_ = server.Close()
+	time.Sleep(d)
+	e.mu.Lock()
+	e.down, e.born, e.token, e.until, e.ended, e.lastEnd, e.seq = false, time.Now(), 0, 0, nil, 0, 0
+	e.highest = make(map[string]int)
+	e.rec.add(e.id, "is back")
+	e.mu.Unlock()
+	return e.listen()
+}
+
+// carryOutLate has a share of the starts get no answer and be carried out 2 to 12 s late, for a while.
+func (e *executor) carryOutLate(share float64, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lateShare, e.lateUntil = share, time.Now().Add(d)
+}
+
+// delay returns by how much an order is held up on its way; 0 for not at all. The caller holds mu.
+func (e *executor) delay() time.Duration {
+	if time.Now().After(e.lateUntil) || rand.Float64() >= e.lateShare {
+		return 0
+	}
+	return 2*time.Second + rand.N(10*time.Second)
+}
+
 func (e *executor) clock() time.Duration { return clockBase + time.Since(e.born) }
 
 type order struct {
@@ -128,7 +182,7 @@
 	WaitMs   int64  `json:"waitMs"`
 }
 
-func (e *executor) handle(do func(ctx context.Context, o *order) (int, map[string]any)) http.HandlerFunc {
+func (e *executor) handle(mayBeLate bool, do func(ctx context.Context, o *order) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var o order
 		if json.NewDecoder(r.Body).Decode(&o) != nil {
@@ -136,6 +190,13 @@
 			return
 		}
 		e.mu.Lock()
+		if wait := e.delay(); mayBeLate && wait > 0 {
+			e.rec.add(e.id, "gets the start of %s run %d in %v", o.Task, o.Run, wait.Round(time.Millisecond))
+			e.mu.Unlock()
+			time.AfterFunc(wait, func() { e.takeLate(r.Header.Get("Expect-Instance"), &o, do) })
+			<-r.Context().Done()
+			return
+		}
 		status, body := http.StatusMisdirectedRequest, map[string]any{}
 		if id := r.Header.Get("Expect-Instance"); id == "" || id == e.id {
 			status, body = do(r.Context(), &o)
@@ -148,6 +209,15 @@
 	}
 }
 
+// takeLate takes an order that was held up. It is lost if the executor is down.
+func (e *executor) takeLate(id string, o *order, do func(ctx context.Context, o *order) (int, map[string]any)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.down && (id == "" || id == e.id) {
+		do(context.Background(), o)
+	}
+}
+
 func refuse(reason string) (int, map[string]any) {
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
@@ -321,8 +391,12 @@
 func (e *executor) sendHeartbeats() {
 	for {
 		e.mu.Lock()
-		send := e.send
+		send, down := e.send, e.down
 		e.mu.Unlock()
+		if down {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
 		body, draining := e.beat()
 		if !send(body) {
 			time.Sleep(250 * time.Millisecond)
@@ -334,7 +408,22 @@
 			e.rec.add(e.id, "its draining is acknowledged")
 		}
 		e.mu.Unlock()
-		time.Sleep(heartbeat)
+		e.pause(heartbeat)
+	}
+}
+
+// pause waits, but not beyond a restart of the executor.
+func (e *executor) pause(d time.Duration) {
+	e.mu.Lock()
+	born := e.born
+	e.mu.Unlock()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		e.mu.Lock()
+		restarted := e.born != born
+		e.mu.Unlock()
+		if restarted {
+			return
+		}
 	}
 }
 
--- a/review/.driver-3/lostend.go
+++ b/review/.driver-3/lostend.go
@@ -13,13 +13,13 @@
 // task may start again after a run of it was done and its end was taken note of. Rule TWICE.
 func lostEnd(s *site, trouble bool) (broken []string, err error) {
 	const (
-		agents  = 8
+		agents  = 11
 		clients = 12
-		rounds  = 14
+		rounds  = 22
 		down    = time.Second
 		pause   = 3 * time.Second
 	)
-	if err := s.start(3, agents, route("/q/", 120_000, 0, 3), executorSpec{cpu: 64000, mem: 131072}); err != nil {
+	if err := s.start(4, agents, route("/q/", 120_000, 0, 3), executorSpec{cpu: 64000, mem: 131072}); err != nil {
 		return nil, err
 	}
 	c := newClient(s)
--- a/review/.driver-3/main.go
+++ b/review/.driver-3/main.go
@@ -30,6 +30,7 @@
 	"pending":  pendingAfterFailover,
 	"outage":   storeOutage,
 	"lostend":  lostEnd,
+	"reborn":   lateStart,
 }
 
 func main() { os.Exit(run()) }
