Add a failing case: tasks that last wait 13 s for an executor that is lost

One of eight executors was lost for good while jobs that last were handed in. A start on its way to it is decided only after 13.4 s.

--- a/review/.driver-3/executor.go
+++ b/review/.driver-3/executor.go
@@ -56,6 +56,7 @@
 	lapsedAt   time.Time // when the lease lapsed last
 	server     *http.Server
 	down       bool
+	gone       bool    // it runs and answers nothing any more
 	lateShare  float64 // of the starts that are held up
 	lateUntil  time.Time
 }
@@ -155,6 +156,17 @@
 	return e.listen()
 }
 
+// lose ends all runs. The executor answers nothing from then on.
+func (e *executor) lose() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rec.add(e.id, "is lost for good")
+	e.gone = true
+	for task := range e.running {
+		e.end(task, "lost")
+	}
+}
+
 // carryOutLate has a share of the starts get no answer and be carried out 2 to 12 s late, for a while.
 func (e *executor) carryOutLate(share float64, d time.Duration) {
 	e.mu.Lock()
@@ -190,6 +202,11 @@
 			return
 		}
 		e.mu.Lock()
+		if e.gone {
+			e.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		if wait := e.delay(); mayBeLate && wait > 0 {
 			e.rec.add(e.id, "gets the start of %s run %d in %v", o.Task, o.Run, wait.Round(time.Millisecond))
 			e.mu.Unlock()
@@ -391,7 +408,7 @@
 func (e *executor) sendHeartbeats() {
 	for {
 		e.mu.Lock()
-		send, down := e.send, e.down
+		send, down := e.send, e.down || e.gone
 		e.mu.Unlock()
 		if down {
 			time.Sleep(20 * time.Millisecond)
--- a/review/.driver-3/main.go
+++ b/review/.driver-3/main.go
@@ -31,6 +31,7 @@
 	"outage":   storeOutage,
 	"lostend":  lostEnd,
 	"reborn":   lateStart,
+	"lasting":  lastingOnLost,
 }
 
 func main() { os.Exit(run()) }
