--- a/review/.driver-3/executor.go
+++ b/review/.driver-3/executor.go
@@ -56,8 +56,9 @@
 	lapsedAt   time.Time // when the lease lapsed last
 	server     *http.Server
 	down       bool
-	gone       bool    // it runs and answers nothing any more
-	lateShare  float64 // of the starts that are held up
+	cutUntil   time.Time // no call reaches it before
+	gone       bool      // it runs and answers nothing any more
+	lateShare  float64   // of the starts that are held up
 	lateUntil  time.Time
 }
 
@@ -167,6 +168,13 @@
 	}
 }
 
+// cutOff has no call of the agent reach the executor until a time.
+func (e *executor) cutOff(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutUntil = until
+}
+
 // carryOutLate has a share of the starts get no answer and be carried out 2 to 12 s late, for a while.
 func (e *executor) carryOutLate(share float64, d time.Duration) {
 	e.mu.Lock()
@@ -202,7 +210,7 @@
 			return
 		}
 		e.mu.Lock()
-		if e.gone {
+		if e.gone || time.Now().Before(e.cutUntil) {
 			e.mu.Unlock()
 			<-r.Context().Done()
 			return
