--- a/review/.driver-3/latebeat.go
+++ b/review/.driver-3/latebeat.go
@@ -11,7 +11,7 @@
 // the end of the cut. Rule DRAIN.
 func lateBeat(s *site, trouble bool) (broken []string, err error) {
 	const cut = 3100 * time.Millisecond
-	if err := s.start(2, 5, route("/q/", 60, 0, 2), executorSpec{cpu: 8000, mem: 16384}); err != nil {
+	if err := s.start(2, 14, route("/q/", 60, 0, 2), executorSpec{cpu: 8000, mem: 16384}); err != nil {
 		return nil, err
 	}
 	c, w := newClient(s), s.workers[0]
--- a/review/.driver-3/reborn.go
+++ b/review/.driver-3/reborn.go
@@ -12,7 +12,7 @@
 // TWICE.
 func lateStart(s *site, trouble bool) (broken []string, err error) {
 	const (
-		agents = 11
+		agents = 13
 		rounds = 5
 		round  = 16 * time.Second
 		lateS  = 5500 * time.Millisecond
@@ -35,7 +35,7 @@
 			go func() {
 				defer wg.Done()
 				time.Sleep(2500 * time.Millisecond)
-				for i := range 4 { // two of eleven at a time, a share of .182
+				for i := range 4 { // two of thirteen at a time, a share of .154
 					var pair sync.WaitGroup
 					for _, w := range s.workers[(2*i)%agents : (2*i)%agents+2] {
 						pair.Add(1)
