Log ends that are left to the holder of the ledger, and those lost

A home that takes over the ledger leaves the ends that it gets before an agent obeys it, so that the agent reports them again. These two, tenureConfirmed and runAdopted get the lines of startedAgain, as the burst of other lines at a takeover displaced them.

--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -166,17 +166,26 @@
 	}
 }
 
+// The kinds of the notes on what becomes of runs when another home holds the ledger.
+const (
+	TenureConfirmed = "tenureConfirmed"
+	RunAdopted      = "runAdopted"
+	EndLeft         = "endLeft"    // the agent retains the end for the holder of the ledger
+	EndMissing      = "endMissing" // an end that was left is not reported again
+)
+
 // adopt takes over the runs that an agent has from a previous holder, and reports
 // whether the agent confirms the tenure with this report.
 func (c *Core) adopt(now time.Time, t *target, r *Report) bool {
 	if r.Epoch > c.highestEpoch || r.Epoch == c.tenure.Epoch && t.confirmedEpoch != r.Epoch && r.Asked {
+		c.noteMissingEnds(t, r)
 		t.uncommitted = nil // the agent reports these ends again, to the holder of the epoch
 	}
 	if c.tenure.Epoch == 0 || r.Epoch != c.tenure.Epoch || t.confirmedEpoch == r.Epoch || !r.Asked {
 		return false
 	}
 	t.confirmedEpoch = r.Epoch
-	c.addNote(Note{Agent: t.agent, Kind: "tenureConfirmed", Reason: "the agent obeys this home for stored jobs", Values: map[string]float64{
+	c.addNote(Note{Agent: t.agent, Kind: TenureConfirmed, Reason: "the agent obeys this home for stored jobs", Values: map[string]float64{
 		"epoch": float64(r.Epoch), "runs": float64(len(r.Kept)), "events": float64(len(r.Events)), "endsTakenAgain": float64(t.countTaken(r.Events)), "taken": float64(t.lastSeq),
 	}})
 	for _, k := range r.Kept {
@@ -186,11 +195,24 @@
 			continue
 		}
 		c.placeRun(now.Add(-k.Age), t, j, k.Run)
-		c.addNote(Note{Job: j.ID, Agent: t.agent, Run: k.Run, Kind: "runAdopted", Reason: "its former home is lost"})
+		c.addNote(Note{Job: j.ID, Agent: t.agent, Run: k.Run, Kind: RunAdopted, Reason: "its former home is lost"})
 	}
 	return true
 }
 
+// noteMissingEnds logs ends that this home no longer has an agent retain, and that a report for the
+// tenure of this home does not list.
+func (c *Core) noteMissingEnds(t *target, r *Report) {
+	if r.Epoch != c.tenure.Epoch {
+		return // another home holds the ledger
+	}
+	for _, seq := range t.uncommitted {
+		if !slices.ContainsFunc(r.Events, func(e Event) bool { return e.Seq == seq }) {
+			c.addNote(Note{Agent: t.agent, Kind: EndMissing, Reason: "the report that confirms the tenure does not list it", Values: map[string]float64{"seq": float64(seq), "epoch": float64(r.Epoch)}})
+		}
+	}
+}
+
 // countTaken returns how many of the events are ends of runs of stored jobs that were taken
 // before.
 func (t *target) countTaken(events []Event) (n int) {
@@ -213,6 +235,7 @@
 func (c *Core) leaveToHolder(t *target, e *Event) {
 	if e.Stored && t.confirmedEpoch == 0 {
 		t.uncommitted = append(t.uncommitted, e.Seq)
+		c.addNote(Note{Job: e.Run.Task.Job, Agent: t.agent, Run: e.Run, Kind: EndLeft, Reason: "the agent has not confirmed the tenure", Values: map[string]float64{"seq": float64(e.Seq), "epoch": float64(c.tenure.Epoch)}})
 	}
 }
 
--- a/site/home_decisions.go
+++ b/site/home_decisions.go
@@ -59,8 +59,9 @@
 func (h *home) logNote(n *schedule.Note) {
 	h.e.metrics.countNote(n)
 	log := &h.log
-	if n.Kind == schedule.StartedAgain {
-		log = &h.e.againLog
+	switch n.Kind {
+	case schedule.StartedAgain, schedule.TenureConfirmed, schedule.RunAdopted, schedule.EndLeft, schedule.EndMissing:
+		log = &h.e.againLog // a home logs much else when it takes over
 	}
 	ev := log.Info()
 	if n.Job != "" {
