Split the exchanges of homes and agents from their connections

A test that delivers replies in any order has to take what a home sends to an agent, to have an agent take it and answer later, and to answer the calls of the store itself. nextArgs, takeSync, answerSync, holderRead, openLoaded and commitAnswered are the parts of sync, Sync, readHolder, loadOpen and sendCommit between the calls. No decision changes.

--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -19,17 +19,8 @@
 	a := m.a
 	a.evacuations.take(args.Evacuation, "home "+args.Home)
 	a.mu.Lock()
-	a.guard.RecordContact(a.now(), args.Home, fromStamp(args.Echo))
-	wasPaused := a.guard.RenewalPaused()
-	if args.Life == a.life {
-		a.applyTenure(args)
-		a.applyClaim(args)
-		a.takeOrders(args)
-	}
-	if wasPaused && !a.guard.RenewalPaused() {
-		a.signalEvents() // the worker takes tasks now
-		args.Wait = 0
-	}
+	a.takeSync(args)
+	a.executeOrders()
 	eventsReady := a.eventsReady
 	hasNew := hasNewer(a.guard.Events(args.Home, args.Acked), args.Known)
 	a.mu.Unlock()
@@ -43,6 +34,28 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.answerSync(args, reply)
+	return nil
+}
+
+// takeSync takes the contact, the tenure, the claim and the orders of a home. It shortens the wait if
+// the home is to learn of their effect at once. The caller holds mu.
+func (a *Agent) takeSync(args *SyncArgs) {
+	a.guard.RecordContact(a.now(), args.Home, fromStamp(args.Echo))
+	wasPaused := a.guard.RenewalPaused()
+	if args.Life == a.life {
+		a.applyTenure(args)
+		a.applyClaim(args)
+		a.takeOrders(args)
+	}
+	if wasPaused && !a.guard.RenewalPaused() {
+		a.signalEvents() // the worker takes tasks now
+		args.Wait = 0
+	}
+}
+
+// answerSync sets the reply to a home. The caller holds mu.
+func (a *Agent) answerSync(args *SyncArgs, reply *SyncReply) {
 	if s := a.evacuations.set(); s.Revision > args.Evacuation.Revision && !slices.Equal(s.DataCentres, args.Evacuation.DataCentres) {
 		reply.Evacuation = s
 	}
@@ -55,7 +68,6 @@
 	if reply.Target = a.targetVersion; args.Target == a.targetVersion && args.Life == a.life {
 		reply.Report.Target, reply.Report.Pace = work.Target{}, schedule.Pace{}
 	}
-	return nil
 }
 
 // hasNewer reports whether there is an event with a higher number than known.
@@ -133,7 +145,6 @@
 			a.runLog.Info().Str("run", r.String()).Str("home", args.Home).Bool("known", a.guard.Knows(r)).Msg("stop taken")
 		}
 	}
-	a.executeOrders()
 }
 
 // reportFor returns the report for a home, with the events after acked. The caller
--- a/site/home_ledger.go
+++ b/site/home_ledger.go
@@ -97,6 +97,11 @@
 	it, err := h.route.get(ledger.TenureKey)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.holderRead(term, it, err)
+}
+
+// holderRead processes the store's answer to readHolder. The caller holds mu.
+func (h *home) holderRead(term uint64, it store.Item, err error) time.Duration {
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return h.storeUnanswered(h.e.now(), err)
 	}
@@ -135,6 +140,11 @@
 	items, err := h.route.list(ledger.OpenPrefix)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.openLoaded(items, err)
+}
+
+// openLoaded processes the store's answer to loadOpen. The caller holds mu.
+func (h *home) openLoaded(items []store.Item, err error) time.Duration {
 	if err != nil {
 		return h.storeUnanswered(h.e.now(), err)
 	}
@@ -206,9 +216,14 @@
 func (h *home) sendCommit(pending *ledger.PendingCommit) {
 	defer h.notifyLedger()
 	rev, err := h.route.commit(pending.Commit())
-	conflict, conflicts := errors.AsType[*store.ConflictError](err)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.commitAnswered(pending, rev, err)
+}
+
+// commitAnswered processes the store's answer to sendCommit. The caller holds mu.
+func (h *home) commitAnswered(pending *ledger.PendingCommit, rev uint64, err error) {
+	conflict, conflicts := errors.AsType[*store.ConflictError](err)
 	now := h.e.now()
 	var changes []ledger.Change
 	switch {
--- a/site/link.go
+++ b/site/link.go
@@ -113,17 +113,7 @@
 // sync makes one exchange and reports whether the agent answered.
 func (l *link) sync(wait time.Duration) bool {
 	l.h.mu.Lock()
-	// The runs of entries out of contact are stopped before the contact is renewed on
-	// which they rest.
-	l.h.dropOutOfContact(l.h.e.now())
-	l.h.deliverDecisions()
-	args := SyncArgs{Home: l.h.e.life, Life: l.life, Echo: l.echo, Orders: l.orders, Target: l.targetVersion, Wait: wait}
-	if life, known := l.h.core.LastReceived(l.agent); life == l.life {
-		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
-	}
-	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
-	args.Claim = l.h.claimFor(l.agent)
-	sentAt := l.h.e.now()
+	args, sentAt := l.nextArgs(wait), l.h.e.now()
 	l.h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+syncSlack)
 	defer cancel()
@@ -148,6 +138,21 @@
 	return true
 }
 
+// nextArgs returns the arguments of an exchange that begins now. The caller holds home.mu.
+func (l *link) nextArgs(wait time.Duration) SyncArgs {
+	// The runs of entries out of contact are stopped before the contact is renewed on
+	// which they rest.
+	l.h.dropOutOfContact(l.h.e.now())
+	l.h.deliverDecisions()
+	args := SyncArgs{Home: l.h.e.life, Life: l.life, Echo: l.echo, Orders: l.orders, Target: l.targetVersion, Wait: wait}
+	if life, known := l.h.core.LastReceived(l.agent); life == l.life {
+		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
+	}
+	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
+	args.Claim = l.h.claimFor(l.agent)
+	return args
+}
+
 // ledgerTenure returns the tenure that is sent to the agent. The caller holds home.mu.
 func (l *link) ledgerTenure() (t tenureArgs) {
 	h := l.h
