Ignore acknowledgements of an earlier incarnation's events

Callers could see a task of a stored job run again: its end was dropped by its agent, and no holder of the ledger knew of it. The events of an agent are numbered from 1 in each incarnation. A home that does not know of a restart yet acknowledges with the numbers of the earlier incarnation, and the agent did not compare the incarnation, as it does for orders, claim and tenure. Such a message may also wait for events at the new incarnation and discards them as it is answered.

With numbers of another incarnation ignored an event can be discarded only by a home that has received it.

Measured: TestEarlierIncarnationsEventsAreAcknowledged failed before (0 events, want 1) and passes.

--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -47,6 +47,8 @@
 		a.applyTenure(args)
 		a.applyClaim(args)
 		a.takeOrders(args)
+	} else {
+		args.Known, args.Acked = 0, 0 // they number the events of an earlier incarnation
 	}
 	if wasPaused && !a.guard.RenewalPaused() {
 		a.signalEvents() // the worker takes tasks now
