Ignore replies of an agent that a later one has overtaken

A home has several exchanges with an agent open, and processes their replies in the order in which their goroutines get its lock. A reply that had been made before the end of a run confirmed the tenure after the home had received the end in a later one: the run was adopted, the end no longer retained, its number taken for processed. Replies were ordered by stamps; an overtaken one with events was processed all the same, and two with one stamp both counted as the latest.

Agents number their replies, and a home ignores an overtaken one as a whole. That is enough, as each report lists all events that the home has not acknowledged, so nothing is in the earlier one that the later one lacks, but the inherited runs of a new tenure; these are asked for again. The flag Overtaken and its case go.

--- a/schedule/earlier.go
+++ b/schedule/earlier.go
@@ -295,9 +295,6 @@
 // takeRunList records the runs of other homes that an agent lists, and has those of jobs that wait
 // sealed. It reports whether the agent has begun or ceased to take starts, or a wait may have ended.
 func (c *Core) takeRunList(now time.Time, t *target, r *Report) (changed bool) {
-	if r.Overtaken {
-		return false
-	}
 	changed = t.followsOther() != r.FollowsOther
 	if r.FollowsOther && (c.hasTerm || c.shares) {
 		c.awaitReturn(now, t, !t.followsOther())
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -31,10 +31,8 @@
 	// Follows is set if the agent follows this home, and FollowsOther if it refuses starts because it
 	// follows another one.
 	Follows, FollowsOther bool
-	// AskedAt is when the home asked for the report, and Overtaken is set if it has a later one, so that
-	// this one tells only of events. The home sets both.
-	AskedAt   time.Time
-	Overtaken bool
+	// AskedAt is when the home asked for the report. The home sets it.
+	AskedAt time.Time
 	// LeavesIn is the least time until a draining worker is removed, if KnowsLeave is set.
 	LeavesIn   time.Duration
 	KnowsLeave bool
@@ -64,7 +62,8 @@
 	}
 }
 
-// Report applies the report of an agent.
+// Report applies the report of an agent. The caller must leave out reports that a later one of the
+// agent has overtaken.
 func (c *Core) Report(now time.Time, agent string, r *Report) {
 	t, ok := c.targets[agent]
 	if !ok {
--- a/site/agent.go
+++ b/site/agent.go
@@ -65,6 +65,7 @@
 	leaseWithheld bool              // the lease was logged as withheld
 	endsCut       bool              // the worker's list of ends was logged as cut off
 	targetVersion uint64            // version of the worker's description
+	lastReply     uint64            // number of the last reply to any home
 	lastAnswered  time.Time         // when an entry last answered an announcement
 }
 
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -61,7 +61,8 @@
 	if s := a.evacuations.set(); s.Revision > args.Evacuation.Revision && !slices.Equal(s.DataCentres, args.Evacuation.DataCentres) {
 		reply.Evacuation = s
 	}
-	reply.Stamp = toStamp(a.now())
+	a.lastReply++
+	reply.Number, reply.Stamp = a.lastReply, toStamp(a.now())
 	reply.Taken = a.lastOrders[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
 	if args.Tenure.Kept {
--- a/site/home_decisions.go
+++ b/site/home_decisions.go
@@ -60,8 +60,10 @@
 	h.e.metrics.countNote(n)
 	log := &h.log
 	switch n.Kind {
-	case schedule.StartedAgain, schedule.TenureConfirmed, schedule.RunAdopted, schedule.EndLeft, schedule.EndMissing:
+	case schedule.StartedAgain, schedule.TenureConfirmed, schedule.RunAdopted, schedule.EndLeft:
 		log = &h.e.againLog // a home logs much else when it takes over
+	case schedule.EndMissing:
+		log = &h.e.log
 	}
 	ev := log.Info()
 	if n.Job != "" {
--- a/site/link.go
+++ b/site/link.go
@@ -16,10 +16,8 @@
 	agent         string
 	client        *wire.Client
 	stop          chan struct{}
-	life          string    // incarnation of the agent; empty before its first report
-	lifeSince     time.Time // when the first report of that incarnation was received
+	latest        replyOrder
 	echo          time.Duration
-	echoReceived  time.Time    // when echo was received
 	orders        []orderBatch // not acknowledged by the agent
 	target        work.Target
 	targetVersion uint64
@@ -30,7 +28,7 @@
 // The caller holds home.mu.
 func newLink(h *home, agent string) *link {
 	l := &link{h: h, agent: agent, client: wire.NewClient(agent, rpcOptions(h.e.network)), stop: make(chan struct{})}
-	l.life, _ = h.core.LastReceived(agent)
+	l.latest.life, _ = h.core.LastReceived(agent)
 	go l.duty()
 	return l
 }
@@ -144,8 +142,8 @@
 	// which they rest.
 	l.h.dropOutOfContact(l.h.e.now())
 	l.h.deliverDecisions()
-	args := SyncArgs{Home: l.h.e.life, Life: l.life, Echo: l.echo, Orders: l.orders, Target: l.targetVersion, Wait: wait}
-	if life, known := l.h.core.LastReceived(l.agent); life == l.life {
+	args := SyncArgs{Home: l.h.e.life, Life: l.latest.life, Echo: l.echo, Orders: l.orders, Target: l.targetVersion, Wait: wait}
+	if life, known := l.h.core.LastReceived(l.agent); life == l.latest.life {
 		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
 	}
 	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
@@ -161,38 +159,39 @@
 		return t // the core does not know the jobs of the runs that the agent would list
 	}
 	t.Epoch = h.ledger.Epoch()
-	// At echoReceived, the agent's time was at least echo.
-	t.Owned = l.echo + h.ledger.RenewedAt().Sub(l.echoReceived)
+	// When the reply with echo was received, the agent's time was at least echo.
+	t.Owned = l.echo + h.ledger.RenewedAt().Sub(l.latest.receivedAt)
 	t.Kept = !h.core.TenureConfirmed(l.agent)
 	return t
 }
 
-// takeReply processes the reply of an exchange that began at sentAt: the agent's incarnation, its
-// acknowledgement of orders and its report. The caller holds home.mu.
+// takeReply processes the reply of an exchange that began at sentAt, unless a later one has been processed:
+// the agent's incarnation, its acknowledgement of orders and its report. The caller holds home.mu.
 func (l *link) takeReply(sentAt time.Time, rep *SyncReply) {
-	if rep.Report.Life != l.life {
-		if !l.lifeSince.IsZero() && !sentAt.After(l.lifeSince) {
-			return // an earlier incarnation may have answered
-		}
-		l.life, l.orders, l.echo, l.targetVersion, l.lifeSince = rep.Report.Life, nil, 0, 0, l.h.e.now()
+	now, life := l.h.e.now(), l.latest.life
+	if !l.latest.take(now, sentAt, rep) {
+		l.repeatQuestion(rep)
+		return
 	}
-	if rep.Report.Target.ID != "" {
-		l.target = rep.Report.Target
-		l.targetVersion = rep.Target
+	if l.latest.life != life {
+		l.orders, l.targetVersion = nil, 0
 	}
-	// The stamp of an exchange that began after echo was received is later, unless echo was out
-	// of range.
-	stale := rep.Stamp < l.echo && !sentAt.After(l.echoReceived)
-	if !stale && rep.Stamp != l.echo {
-		l.echo, l.echoReceived = rep.Stamp, l.h.e.now()
+	if rep.Report.Target.ID != "" {
+		l.target, l.targetVersion = rep.Report.Target, rep.Target
 	}
+	l.echo = rep.Stamp
 	for len(l.orders) > 0 && l.orders[0].Seq <= rep.Taken && rep.Taken <= l.h.lastOrder {
 		l.orders = l.orders[1:]
 	}
-	if stale && len(rep.Report.Events) == 0 {
-		return
-	}
-	rep.Report.Target, rep.Report.AskedAt, rep.Report.Overtaken = l.target, sentAt, stale
-	l.h.core.Report(l.h.e.now(), l.agent, &rep.Report)
+	rep.Report.Target, rep.Report.AskedAt = l.target, sentAt
+	l.h.core.Report(now, l.agent, &rep.Report)
 	l.h.deliverDecisions()
 }
+
+// repeatQuestion asks the agent for its inherited runs again if an overtaken reply lists them: the later one
+// may not, and the next exchange may wait for events. The caller holds home.mu.
+func (l *link) repeatQuestion(overtaken *SyncReply) {
+	if overtaken.Report.Asked && !l.h.core.TenureConfirmed(l.agent) {
+		go l.sync(0)
+	}
+}
--- a/site/messages.go
+++ b/site/messages.go
@@ -78,6 +78,7 @@
 
 // SyncReply is an agent's report to a home.
 type SyncReply struct {
+	Number uint64          // rises with each reply of the incarnation of the agent; 0 from earlier builds
 	Stamp  time.Duration   // the agent's time
 	Taken  uint64          // orders up to this number were received
 	Target uint64          // version of the worker's description
