Ignore greetings of an entry that a later one has overtaken

A former home could count as home again, with the waiting jobs of its old report, and an entry that is home under a lower term then ends its own: callers are sent to an entry that places nothing. Greetings are sent as calls and as answers, several at a time, and a partition holds some up. Their stamps were compared only to keep the newest, while the roster, the reports of homes, the pairs and the panel took each greeting as the present.

Entries number their greetings, and the rule for the replies of agents holds for them (messageOrder). A call shows no time at which it was made, so the greeting of another incarnation counts only as an answer to one that began after the present one was heard of; an ignored call is answered by a greeting. The status of the home is read under the lock that orders the numbers.

--- a/site/entry.go
+++ b/site/entry.go
@@ -95,6 +95,7 @@
 	sentPairs          map[string]sentPairs  // by address of a home that knows pairs
 	invalidPairsLogged bool
 	stamps             map[string]peerStamp // by address of an entry
+	lastGreeting       uint64               // number of the last greeting to any entry
 }
 
 // StartEntry starts an entry and its servers.
--- a/site/entry_greet.go
+++ b/site/entry_greet.go
@@ -150,11 +150,10 @@
 	return true
 }
 
-// peerStamp is the last stamp that an incarnation of another entry has sent.
+// peerStamp is the stamp in the latest greeting of another entry.
 type peerStamp struct {
-	life       string
-	stamp      time.Duration
-	receivedAt time.Time
+	latest messageOrder
+	stamp  time.Duration
 }
 
 // peer is the connection to another entry.
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -54,15 +54,16 @@
 func (e *Entry) greeting(to string) GreetArgs {
 	e.mu.Lock()
 	now := e.now()
-	args := GreetArgs{Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
+	e.lastGreeting++
+	args := GreetArgs{Number: e.lastGreeting, Member: e.roster.Self(now), Session: e.sessions[to], Panel: e.roster.Panel(now)}
 	args.HighestTerm = e.roster.HighestTerm()
 	args.Sum, args.Stamp, args.Echo = panelHash(args.Panel), toStamp(now), e.stamps[to].stamp
 	if c := e.config.Load(); c != nil {
 		args.Config = c.Version()
 	}
+	st := e.home.status.Load()
 	e.mu.Unlock()
 	args.Evacuation = e.evacuations.mark()
-	st := e.home.status.Load()
 	args.Open = st.open
 	if args.Member.Term > 0 || args.Member.Places {
 		args.Waiting, args.Delay, args.Vacant, args.StartRate = st.waiting, st.delay, st.vacant, st.startRate
@@ -80,10 +81,17 @@
 	return h.Sum64()
 }
 
-// takeGreeting processes a greeting of another entry. If it answers a greeting of this one, that
-// was sent at sentAt; otherwise sentAt is zero.
+// takeGreeting processes a greeting of another entry, unless a later one has been processed. If it answers
+// a greeting of this one, that was sent at sentAt; otherwise sentAt is zero.
 func (e *Entry) takeGreeting(sentAt time.Time, g *GreetReply) {
 	e.mu.Lock()
+	if !e.recordStamp(sentAt, g) {
+		e.mu.Unlock()
+		if sentAt.IsZero() {
+			go e.greet(g.Member.Address) // the answer shows which incarnation runs, and its present state
+		}
+		return
+	}
 	e.roster.RecordContact(e.now(), g.Member)
 	e.roster.RecordTerm(g.HighestTerm)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
@@ -93,11 +101,6 @@
 		delete(e.homeReports, g.Member.Address)
 	}
 	e.recordPairs(g)
-	// An answer to a greeting that was sent after the known stamp was received has a later one,
-	// unless that was out of range.
-	if known := e.stamps[g.Member.Address]; known.life != g.Member.Life || g.Stamp > known.stamp || sentAt.After(known.receivedAt) {
-		e.stamps[g.Member.Address] = peerStamp{g.Member.Life, g.Stamp, e.now()}
-	}
 	e.mu.Unlock()
 	e.knownEntries.add(e.now(), g.Panel...)
 	e.home.recordContact(g.Member.Life, g.Session, g.Echo)
@@ -115,6 +118,18 @@
 	}
 }
 
+// recordStamp records the stamp of a greeting, and reports whether the greeting is the latest of its entry. The
+// caller holds mu.
+func (e *Entry) recordStamp(sentAt time.Time, g *GreetReply) (isLatest bool) {
+	known := e.stamps[g.Member.Address]
+	if !known.latest.take(e.now(), sentAt, g.Member.Life, numberOf(g.Number, g.Stamp)) {
+		return false
+	}
+	known.stamp = g.Stamp
+	e.stamps[g.Member.Address] = known
+	return true
+}
+
 // currentHome returns the home and whether there is one.
 func (e *Entry) currentHome() (m roster.Member, ok bool) {
 	e.mu.Lock()
--- a/site/entry_run.go
+++ b/site/entry_run.go
@@ -240,7 +240,7 @@
 func (e *Entry) stampOf(m roster.Member) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s := e.stamps[m.Address]; s.life == m.Life {
+	if s := e.stamps[m.Address]; s.latest.life == m.Life {
 		return s.stamp
 	}
 	return 0
--- a/site/link.go
+++ b/site/link.go
@@ -16,7 +16,7 @@
 	agent         string
 	client        *wire.Client
 	stop          chan struct{}
-	latest        replyOrder
+	latest        messageOrder
 	echo          time.Duration
 	orders        []orderBatch // not acknowledged by the agent
 	target        work.Target
@@ -169,7 +169,7 @@
 // the agent's incarnation, its acknowledgement of orders and its report. The caller holds home.mu.
 func (l *link) takeReply(sentAt time.Time, rep *SyncReply) {
 	now, life := l.h.e.now(), l.latest.life
-	if !l.latest.take(now, sentAt, rep) {
+	if !l.latest.take(now, sentAt, rep.Report.Life, numberOf(rep.Number, rep.Stamp)) {
 		l.repeatQuestion(rep)
 		return
 	}
--- a/site/messages.go
+++ b/site/messages.go
@@ -114,6 +114,7 @@
 	Delay   time.Duration  // how long a new job would wait, if the sender is home
 	Vacant  bool           // no job is stored on the site, if the sender is home
 	Open    bool           // jobs that are not stored are open at the sender's home
+	Number  uint64         // rises with each greeting of the sender's incarnation; 0 from earlier builds
 	Stamp   time.Duration  // the sender's time
 	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
 	// StartRate is the number of tasks that the sender starts each second, if it is home.
--- a/site/reattach_test.go
+++ b/site/reattach_test.go
@@ -63,7 +63,7 @@
 			e.clock = &clock.Manual{} // the home stays in contact however slow the machine is
 			e.network = wire.OrTCP(nil)
 			e.peers, e.sessions, e.jobsAt = make(map[string]*peer), make(map[string]uint64), make(map[string]int)
-			e.stamps = map[string]peerStamp{address: {life: home.Life, stamp: time.Second}}
+			e.stamps = map[string]peerStamp{address: {latest: messageOrder{life: home.Life}, stamp: time.Second}}
 			e.roster.RecordContact(e.now(), home)
 			out, _, err := e.runAt(t.Context(), home, &RunArgs{Job: work.Job{ID: "j"}})
 			if broken := errors.Is(err, wire.ErrBroken); broken != tc.broken {
