Ignore heartbeats that a later one has overtaken

A heartbeat that a partition had held up says ready, arrives after the one that says draining, and described the worker, as the number of a heartbeat was not read.

A heartbeat is ignored if its number and its clock are below those of a later one of the same incarnation. A foreign program may send any number, so both have to show it, and a heartbeat whose clock is ahead of the one in the replies to polls is not remembered. The walk of exchanges keeps one set of metrics, as each set lasts as long as the process.

--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -194,7 +194,7 @@
 // sendHeartbeat sends a heartbeat of the worker to its agent.
 func (w *modelWorker) sendHeartbeat(draining bool) {
 	w.target.Draining = draining
-	w.guard.TakeHeartbeat(w.replay.now(), w.target, w.replay.clock.elapsed-w.startedAt+time.Second)
+	w.guard.TakeHeartbeat(w.replay.now(), w.target, w.replay.clock.elapsed-w.startedAt+time.Second, 0)
 	w.replay.sendReport(w)
 }
 
--- a/site/agent.go
+++ b/site/agent.go
@@ -197,7 +197,7 @@
 			a.log.Info().Str("worker", rep.Target.ID).Int("runs", a.guard.Running()).Msg("worker leaves")
 		}
 	} else {
-		if a.guard.TakeHeartbeat(a.now(), rep.Target, rep.Clock) {
+		if a.guard.TakeHeartbeat(a.now(), rep.Target, rep.Clock, rep.Seq) {
 			a.log.Info().Str("worker", rep.Target.ID).Int64("born", rep.Target.Born).Int64("current", before.Born).Msg("another incarnation of the worker announced")
 			go a.poll(0)
 		}
--- a/site/agent_cold_test.go
+++ b/site/agent_cold_test.go
@@ -27,7 +27,7 @@
 			node: &tc.node, log: zerolog.Nop(), runLog: zerolog.Nop(), clock: clock.System{}, guard: worker.NewGuard(worker.Config{}),
 			worker: platform.NewWorker("w", dialOf(unreachableNetwork{})), metrics: newAgentMetrics(), eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64),
 		}
-		a.guard.TakeHeartbeat(a.now(), work.Target{ID: "w", Born: 1, Service: "s"}, time.Second)
+		a.guard.TakeHeartbeat(a.now(), work.Target{ID: "w", Born: 1, Service: "s"}, time.Second, 0)
 		a.takeReport(platform.WorkerReport{Target: work.Target{ID: "w", Born: 1, Service: "s", ColdLeft: time.Hour}})
 		a.mu.Lock()
 		if left := a.reportFor("h", 0).ColdLeft; (left > 0) != tc.cold {
--- a/site/agent_methods_test.go
+++ b/site/agent_methods_test.go
@@ -20,7 +20,7 @@
 		node: node, log: zerolog.Nop(), runLog: zerolog.Nop(), clock: clk, life: "agent-2", guard: worker.NewGuard(GuardConfig(node)),
 		eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64), targetVersion: 1,
 	}
-	a.guard.TakeHeartbeat(a.now(), work.Target{ID: "w", Born: 1, Service: "s", Capacity: work.Room{CPU: 100}}, time.Minute)
+	a.guard.TakeHeartbeat(a.now(), work.Target{ID: "w", Born: 1, Service: "s", Capacity: work.Room{CPU: 100}}, time.Minute, 0)
 	for range 2 {
 		a.guard.PollAnswered(a.now(), worker.Snapshot{Token: a.guard.Token(), Born: 1, Clock: time.Minute})
 	}
--- a/site/exchange_walk_test.go
+++ b/site/exchange_walk_test.go
@@ -76,7 +76,7 @@
 	exchangePollInterval = 5 * time.Millisecond
 )
 
-var exchangeMetrics = newEntryMetrics()
+var exchangeMetrics = newEntryMetrics() // metrics of an entry last as long as the process
 
 func newExchangeWalk(seed uint64) *exchangeWalk {
 	w := &exchangeWalk{rng: rand.New(rand.NewPCG(seed, 58)), accepted: make(map[string]bool), noted: make(map[work.TaskRef]time.Time)}
@@ -228,8 +228,8 @@
 }
 
 func (w *exchangeWalk) addHome() {
-	e := testEntry()
-	e.clock, e.life, e.metrics = &w.clock, fmt.Sprint("home-", len(w.homes)), exchangeMetrics
+	e := testEntryWith(exchangeMetrics)
+	e.clock, e.life = &w.clock, fmt.Sprint("home-", len(w.homes))
 	e.roster = roster.New(w.now(), roster.Member{Address: e.life}, rosterConfig())
 	x := &exchangeHome{h: newHome(e), asksAt: make([]time.Time, len(w.agents)), sent: make([]uint64, len(w.agents))}
 	for _, a := range w.agents {
@@ -408,7 +408,7 @@
 		node: node, log: zerolog.Nop(), runLog: zerolog.Nop(), clock: &w.clock, life: fmt.Sprint(x.name, "-", x.restarts), metrics: nil,
 		guard: worker.NewGuard(GuardConfig(node)), eventsReady: make(chan struct{}), lastOrders: make(map[string]uint64), targetVersion: 1,
 	}
-	x.a.guard.TakeHeartbeat(w.now(), work.Target{ID: x.name, Born: 1, Service: "s", Capacity: work.Room{CPU: 1000}}, w.now().Sub(x.since))
+	x.a.guard.TakeHeartbeat(w.now(), work.Target{ID: x.name, Born: 1, Service: "s", Capacity: work.Room{CPU: 1000}}, w.now().Sub(x.since), 0)
 }
 
 // poll has an agent poll its worker, which ends the runs whose time has come.
--- a/site/link_test.go
+++ b/site/link_test.go
@@ -47,8 +47,10 @@
 	}
 }
 
-func testEntry() *Entry {
-	e := &Entry{node: &platform.Node{}, log: zerolog.Nop(), clock: clock.System{}, network: unreachableNetwork{}, life: "entry-1", metrics: newEntryMetrics(), store: platform.NewStore("store", dialOf(unreachableNetwork{})), ending: context.Background()}
+func testEntry() *Entry { return testEntryWith(newEntryMetrics()) }
+
+func testEntryWith(m *entryMetrics) *Entry {
+	e := &Entry{node: &platform.Node{}, log: zerolog.Nop(), clock: clock.System{}, network: unreachableNetwork{}, life: "entry-1", metrics: m, store: platform.NewStore("store", dialOf(unreachableNetwork{})), ending: context.Background()}
 	e.roster = roster.New(time.Now(), roster.Member{Address: "e1"}, rosterConfig())
 	return e
 }
--- a/worker/evacuation_test.go
+++ b/worker/evacuation_test.go
@@ -13,7 +13,7 @@
 // newDriverIn returns a driver of a worker in a data centre.
 func newDriverIn(t *testing.T, dataCentre string) *driver {
 	d := newDriver(t)
-	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Zone: dataCentre, Capacity: work.Room{CPU: 100}}, d.clock)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Zone: dataCentre, Capacity: work.Room{CPU: 100}}, d.clock, 0)
 	d.g.ApplyTenure(d.now, "e1", worker.Tenure{Vacant: true})
 	d.answerPoll(0)
 	return d
--- a/worker/heartbeat.go
+++ b/worker/heartbeat.go
@@ -10,12 +10,42 @@
 // incarnation runs and what its clock shows. A heartbeat describes the worker. Until the
 // first reply, it stands in for one.
 
-// TakeHeartbeat takes a heartbeat of the worker. It reports whether the heartbeat announces
-// another incarnation, which is used once a poll shows it.
-func (g *Guard) TakeHeartbeat(now time.Time, t work.Target, clock time.Duration) (announced bool) {
+// heartbeat identifies a heartbeat among those of an incarnation of the worker.
+type heartbeat struct {
+	id    string
+	born  int64
+	seq   uint64        // rises with each heartbeat; 0 if it is not known
+	clock time.Duration // the worker's clock as it was sent
+}
+
+// overtakes reports whether h was made after o, by the same incarnation of the worker. Both number and clock
+// have to show it: the heartbeat of a foreign program may have any number.
+func (h heartbeat) overtakes(o heartbeat) bool {
+	return h.id == o.id && h.born == o.born && o.seq != 0 && o.seq < h.seq && o.clock < h.clock
+}
+
+// recordHeartbeat records a heartbeat that describes the worker, if its clock can be that of the worker.
+func (g *Guard) recordHeartbeat(now time.Time, h heartbeat) {
+	if !g.lastPoll.IsZero() && h.clock > g.workerClock+time.Duration(float64(now.Sub(g.clockReadAt))*maxClockDrift)+heartbeatSlack {
+		return
+	}
+	if !g.describedBy.overtakes(h) {
+		g.describedBy = h
+	}
+}
+
+// heartbeatSlack is how far the clock in a heartbeat may be ahead of the one that polls show.
+const heartbeatSlack = 100 * time.Millisecond
+
+// TakeHeartbeat takes a heartbeat of the worker, with its number (seq). It reports whether the heartbeat
+// announces another incarnation, which is used once a poll shows it.
+func (g *Guard) TakeHeartbeat(now time.Time, t work.Target, clock time.Duration, seq uint64) (announced bool) {
 	g.initialise(now)
 	if g.lastPoll.IsZero() {
-		g.describe(now, t)
+		if !g.describedBy.overtakes(heartbeat{t.ID, t.Born, seq, clock}) {
+			g.describe(now, t)
+			g.recordHeartbeat(now, heartbeat{t.ID, t.Born, seq, clock})
+		}
 		g.setFirstToken(now, clock)
 		return false
 	}
@@ -32,12 +62,15 @@
 		g.announced, g.settled = t, false // until a poll shows what runs
 		g.raiseToken()
 		return true
+	case g.describedBy.overtakes(heartbeat{t.ID, t.Born, seq, clock}):
+		return false // delayed; a later one has described the worker
 	case t.Capacity == work.Room{}:
 		return false // incomplete
 	case g.hasTarget && t.ID != g.target.ID && now.Sub(g.describedAt) <= descriptionMaxAge:
 		return false // of another worker
 	}
 	g.describe(now, t)
+	g.recordHeartbeat(now, heartbeat{t.ID, t.Born, seq, clock})
 	return false
 }
 
--- a/worker/heartbeat_test.go
+++ b/worker/heartbeat_test.go
@@ -11,7 +11,7 @@
 
 // sendForeignHeartbeat sends a heartbeat of a foreign program.
 func (d *driver) sendForeignHeartbeat(id string, born int64, clock time.Duration) {
-	d.g.TakeHeartbeat(d.now, work.Target{ID: id, Born: born, Service: "s", Capacity: work.Room{CPU: 5}, Draining: true}, clock)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: id, Born: born, Service: "s", Capacity: work.Room{CPU: 5}, Draining: true}, clock, 0)
 }
 
 // TestMalformedHeartbeatShutsOutTheWorker guards against an agent that ignores its worker from
@@ -60,7 +60,7 @@
 // after a heartbeat with missing fields.
 func TestHeartbeatWithoutCapacityStopsTheWorker(t *testing.T) {
 	d := newDriver(t)
-	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Service: "s"}, 0)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Service: "s"}, 0, 0)
 	if n := len(d.order(start(0, 1, 10))); n != 1 {
 		t.Errorf("%d orders, want a start", n)
 	}
@@ -86,7 +86,7 @@
 func TestAnnouncedWorkerIsUsedOnceItAnswers(t *testing.T) {
 	d := newDriver(t)
 	d.born, d.clock = 8, time.Second
-	d.g.TakeHeartbeat(d.now, work.Target{ID: "w2", Born: 8, Service: "s", Capacity: work.Room{CPU: 7}}, d.clock)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w2", Born: 8, Service: "s", Capacity: work.Room{CPU: 7}}, d.clock, 0)
 	d.answerPoll(0)
 	d.answerPoll(0)
 	if target, ok := d.g.Target(); !ok || target.ID != "w2" || target.Capacity.CPU != 7 {
@@ -101,10 +101,47 @@
 	if left := g.ColdLeft(now); left != 0 {
 		t.Errorf("cold for %v before a heartbeat", left)
 	}
-	g.TakeHeartbeat(now, work.Target{ID: "w", Born: 7, Service: "s", ColdLeft: 2 * time.Second}, time.Second)
+	g.TakeHeartbeat(now, work.Target{ID: "w", Born: 7, Service: "s", ColdLeft: 2 * time.Second}, time.Second, 0)
 	for after, want := range map[time.Duration]time.Duration{0: 2 * time.Second, 500 * time.Millisecond: 1500 * time.Millisecond, 3 * time.Second: 0} {
 		if left := g.ColdLeft(now.Add(after)); left != want {
 			t.Errorf("cold for %v after %v, want %v", left, after, want)
 		}
 	}
 }
+
+// TestLateHeartbeatMakesDrainingWorkerReady guards against a start on a worker that drains: a heartbeat
+// that was held up on its way arrives after the one that says so.
+func TestLateHeartbeatMakesDrainingWorkerReady(t *testing.T) {
+	d := newDriver(t)
+	send := func(draining bool, seq uint64, clock time.Duration) {
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: draining, Capacity: work.Room{CPU: 100}}, clock, seq)
+	}
+	send(false, 3, d.clock)
+	late := d.clock
+	d.advance(6 * time.Second)
+	d.answerPoll(0)
+	send(true, 5, d.clock)
+	send(false, 4, late)
+	if target, _ := d.g.Target(); !target.Draining {
+		t.Error("the worker counts as ready after a heartbeat from before it drained")
+	}
+	if n := len(d.order(start(0, 1, 10))); n != 0 {
+		t.Errorf("%d starts on a worker that drains", n)
+	}
+}
+
+// TestHeartbeatNumberOutOfRangeShutsOutTheWorker guards against a worker that is not heard any more after a
+// heartbeat of a foreign program with the highest number.
+func TestHeartbeatNumberOutOfRangeShutsOutTheWorker(t *testing.T) {
+	for _, clock := range []time.Duration{0, time.Second, 300 * 24 * time.Hour, math.MaxInt64} {
+		d := newDriver(t)
+		d.answerPoll(0)
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: true, Capacity: work.Room{CPU: 5}}, clock, math.MaxUint64)
+		d.advance(time.Second)
+		d.answerPoll(0)
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Capacity: work.Room{CPU: 100}}, d.clock, 2)
+		if target, _ := d.g.Target(); target.Draining {
+			t.Errorf("clock %v: the worker is shut out", clock)
+		}
+	}
+}
--- a/worker/leave_test.go
+++ b/worker/leave_test.go
@@ -110,7 +110,7 @@
 func TestTimeUntilRemovalIsKnown(t *testing.T) {
 	d := newDriver(t)
 	heartbeat := func(draining bool) {
-		d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: draining, KnowsLeave: draining, LeavesIn: 1600 * time.Millisecond, Capacity: work.Room{CPU: 100}}, d.clock)
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: draining, KnowsLeave: draining, LeavesIn: 1600 * time.Millisecond, Capacity: work.Room{CPU: 100}}, d.clock, 0)
 	}
 	if _, known := d.g.LeavesIn(d.now); known {
 		t.Error("a removal of a worker that is not draining")
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -19,7 +19,7 @@
 	if n := len(d.order(start(0, 1, 10))); n != 0 {
 		t.Errorf("%d starts sent, want none", n)
 	}
-	d.g.TakeHeartbeat(d.now, work.Target{ID: "w2", Born: 8, Service: "s", Capacity: work.Room{CPU: 100}}, d.clock)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w2", Born: 8, Service: "s", Capacity: work.Room{CPU: 100}}, d.clock, 0)
 	orders := d.order(start(0, 2, 10))
 	if len(orders) != 1 || orders[0].Worker != "w2" {
 		t.Errorf("orders %+v, want a start for the worker as it described itself", orders)
@@ -33,7 +33,7 @@
 		d := newDriver(t)
 		d.born, d.clock = 8, time.Second
 		d.answerPoll(0)
-		d.g.TakeHeartbeat(d.now, work.Target{ID: "foreign", Service: "s", Capacity: capacity}, 0)
+		d.g.TakeHeartbeat(d.now, work.Target{ID: "foreign", Service: "s", Capacity: capacity}, 0, 0)
 		d.sendHeartbeat(false)
 		if target, ok := d.g.Target(); !ok || target.ID != "w" {
 			t.Errorf("target %+v, known %t, after a heartbeat of the worker", target, ok)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -37,7 +37,7 @@
 // # Usage
 //
 //	g := worker.NewGuard(cfg)
-//	g.TakeHeartbeat(now, target, clock)
+//	g.TakeHeartbeat(now, target, clock, seq)
 //	g.Claim(now, claim)
 //	g.Order(now, "entry-1", echo, starts, stops)
 //	for _, o := range g.Take() { ... }
@@ -118,6 +118,7 @@
 	hasTarget        bool        // a heartbeat has described the target
 	announced        work.Target // as a heartbeat described another incarnation, which no poll has shown
 	describedAt      time.Time   // last heartbeat that described it
+	describedBy      heartbeat   // the latest of them
 	leaving          bool
 	leavesAt         time.Time // least time when a draining worker is removed; zero if it is not known
 	outOfContact     bool      // no poll has been answered for Config.WorkerContactTimeout
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -39,7 +39,7 @@
 }
 
 func (d *driver) sendHeartbeat(draining bool) {
-	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: draining, Capacity: work.Room{CPU: 100}}, d.clock)
+	d.g.TakeHeartbeat(d.now, work.Target{ID: "w", Born: d.born, Service: "s", Draining: draining, Capacity: work.Room{CPU: 100}}, d.clock, 0)
 }
 
 func (d *driver) advance(span time.Duration) {
