Answer with the last whole count of waiting jobs while the home is replaced

An entry added up what the known homes had reported. While no home is known, or the next one has not read the ledger, that is a part, and it was given as the whole.

Evidence: the case kills one process, and the two entries to which nothing has happened answer 0.

A sum is whole if a home is known, each home has reported, and that of the site has read the ledger, which its greeting tells. A home of an earlier build counts as before.

--- a/site/entry.go
+++ b/site/entry.go
@@ -96,6 +96,7 @@
 	invalidPairsLogged bool
 	stamps             map[string]peerStamp // by address of an entry
 	lastGreeting       uint64               // number of the last greeting to any entry
+	waiting            waitingCount         // the last one that was whole
 }
 
 // StartEntry starts an entry and its servers.
--- a/site/entry_cells.go
+++ b/site/entry_cells.go
@@ -18,6 +18,7 @@
 // homeReport is what the home of a cell reports in its greetings.
 type homeReport struct {
 	waiting    map[string]int // by queue: jobs that have not started
+	isPartial  bool           // waiting lacks stored jobs
 	delay      time.Duration  // how long a new job would wait there
 	startRate  float64        // tasks that it starts each second
 	vacant     bool           // no job is stored on the site
--- a/site/entry_peers.go
+++ b/site/entry_peers.go
@@ -66,7 +66,7 @@
 	args.Evacuation = e.evacuations.mark()
 	args.Open = st.open
 	if args.Member.Term > 0 || args.Member.Places {
-		args.Waiting, args.Delay, args.Vacant, args.StartRate = st.waiting, st.delay, st.vacant, st.startRate
+		args.Waiting, args.WaitingPartial, args.Delay, args.Vacant, args.StartRate = st.waiting, st.isPartial, st.delay, st.vacant, st.startRate
 		args.Interference = st.pairs
 	}
 	return args
@@ -96,7 +96,7 @@
 	e.roster.RecordTerm(g.HighestTerm)
 	becameVacant := g.Vacant && !e.homeReports[g.Member.Address].vacant
 	if g.Member.Term > 0 || g.Member.Places {
-		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, open: g.Open, receivedAt: e.now()}
+		e.homeReports[g.Member.Address] = homeReport{waiting: g.Waiting, isPartial: g.WaitingPartial, delay: g.Delay, startRate: validRate(g.StartRate), vacant: g.Vacant, open: g.Open, receivedAt: e.now()}
 	} else {
 		delete(e.homeReports, g.Member.Address)
 	}
@@ -162,6 +162,7 @@
 	changed := home.Life != e.lastHome
 	previous := e.lastHome
 	e.lastHome = home.Life
+	e.recordWaiting(now)
 	homes := lives(e.roster.Homes(now))
 	e.recordHomes(e.roster.Homes(now))
 	homesChanged := !slices.Equal(homes, e.lastHomes)
@@ -198,20 +199,6 @@
 	return ls
 }
 
-// waitingJobs returns how many jobs of a queue have not started at any home.
-func (e *Entry) waitingJobs(queue string) (n int) {
-	for _, m := range e.homes() {
-		if m.Life == e.life {
-			n += e.home.status.Load().waiting[queue]
-			continue
-		}
-		e.mu.Lock()
-		n += e.homeReports[m.Address].waiting[queue]
-		e.mu.Unlock()
-	}
-	return n
-}
-
 // registerDuty writes this entry's address to the store once, for processes that are
 // not in contact with any entry.
 func (e *Entry) registerDuty() {
--- a/site/entry_web.go
+++ b/site/entry_web.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if r.URL.Path == prefix && r.Method == http.MethodGet {
-		e.logWriteError(platform.WriteWaiting(w, e.waitingJobs(q.Name)))
+		e.serveWaiting(w, q.Name)
 		return
 	}
 	id, ok := platform.JobID(r.URL.Path, prefix)
--- a/site/home.go
+++ b/site/home.go
@@ -76,6 +76,7 @@
 // published, so that greetings need not wait for the home's decisions.
 type homeStatus struct {
 	waiting    map[string]int      // by queue: jobs that have not started
+	isPartial  bool                // waiting lacks stored jobs, as the ledger is not read yet
 	delay      time.Duration       // how long a new job would wait
 	vacant     bool                // no job is stored on the site
 	storesJobs bool                // jobs are stored on the site, or are to be stored
@@ -303,7 +304,7 @@
 	if passedOver != h.status.Load().passedOver {
 		h.e.log.Warn().Bool("passedOver", passedOver).Msg("workers follow another home")
 	}
-	h.status.Store(&homeStatus{waiting: h.core.Waiting(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), open: h.core.HasOpenJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs), passedOver: passedOver})
+	h.status.Store(&homeStatus{waiting: h.core.Waiting(), isPartial: !h.ledger.Held() && !h.ledger.Vacant(), delay: h.core.Delay(now), vacant: h.ledger.Vacant(), storesJobs: h.storesJobs(), open: h.core.HasOpenJobs(), startRate: h.startRate.PerSecond(now), pairs: h.core.InterferingPairs(maxSentPairs), passedOver: passedOver})
 }
 
 // storesJobs reports whether jobs are stored on the site, or are to be stored. The
--- a/site/messages.go
+++ b/site/messages.go
@@ -111,12 +111,14 @@
 	Sum     uint64
 	Config  uint64         // version of the configuration that the sender has in force
 	Waiting map[string]int // by queue: jobs that have not started, if the sender is home
-	Delay   time.Duration  // how long a new job would wait, if the sender is home
-	Vacant  bool           // no job is stored on the site, if the sender is home
-	Open    bool           // jobs that are not stored are open at the sender's home
-	Number  uint64         // rises with each greeting of the sender's incarnation; 0 from earlier builds
-	Stamp   time.Duration  // the sender's time
-	Echo    time.Duration  // the receiver's last stamp that the sender has; 0 if it has none
+	// WaitingPartial is set if Waiting lacks stored jobs, as the sender has not read the ledger yet.
+	WaitingPartial bool
+	Delay          time.Duration // how long a new job would wait, if the sender is home
+	Vacant         bool          // no job is stored on the site, if the sender is home
+	Open           bool          // jobs that are not stored are open at the sender's home
+	Number         uint64        // rises with each greeting of the sender's incarnation; 0 from earlier builds
+	Stamp          time.Duration // the sender's time
+	Echo           time.Duration // the receiver's last stamp that the sender has; 0 if it has none
 	// StartRate is the number of tasks that the sender starts each second, if it is home.
 	StartRate float64
 	// Evacuation identifies the sender's set of evacuated data centres.
