Acknowledge no ends after a poll that was not answered

What callers would see: a task that a restarted worker has run to its end starts again.

Cause: the agent acknowledges ends by number, and a worker numbers its ends anew after a restart. The first poll that the next incarnation gets names a number of the earlier one, so the worker drops ends that the agent has not seen.

Change: after a poll without an answer, AckedEnd is 0 until a poll that was sent later is answered. A restart resets the connections of the polls, of which two are always open, so it is seen as a failed poll.

Evidence: TestFirstPollDropsEndsOfRestartedWorker failed before ("another incarnation may drop ends up to 1").

--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -155,7 +155,7 @@
 		w.replay.sendReport(w)
 		return
 	}
-	snapshot := worker.Snapshot{Token: w.guard.Token(), Born: w.target.Born, Clock: w.replay.clock.elapsed - w.startedAt + time.Second, Running: make(map[work.Run]int), Ended: w.ended}
+	snapshot := worker.Snapshot{Token: w.guard.Token(), Round: w.guard.PollRound(), Born: w.target.Born, Clock: w.replay.clock.elapsed - w.startedAt + time.Second, Running: make(map[work.Run]int), Ended: w.ended}
 	for _, m := range w.runs {
 		w.updateProgress(m)
 		snapshot.Running[m.run] = int(100 * float64(m.total-m.remaining) / float64(m.total))
--- a/site/agent.go
+++ b/site/agent.go
@@ -271,7 +271,7 @@
 // may wait for an end before it answers. The result reports whether it answered.
 func (a *Agent) poll(wait time.Duration) bool {
 	a.mu.Lock()
-	token, ackedEnd, until := a.guard.Token(), a.guard.AckedEnd(), a.guard.LeaseUntil(a.now())
+	token, round, ackedEnd, until := a.guard.Token(), a.guard.PollRound(), a.guard.AckedEnd(), a.guard.LeaseUntil(a.now())
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wait+pollSlack)
 	defer cancel()
@@ -304,7 +304,7 @@
 		return ans.Reason == platform.ReasonFence
 	}
 	a.logWorkerContact(false, nil)
-	snapshot := worker.Snapshot{Token: token, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running)), Checkpoints: make(map[work.Run]string), EndsCut: ans.EndsCut}
+	snapshot := worker.Snapshot{Token: token, Round: round, Born: ans.Born, Clock: ans.Clock, Running: make(map[work.Run]int, len(ans.Running)), Checkpoints: make(map[work.Run]string), EndsCut: ans.EndsCut}
 	for _, r := range ans.Running {
 		snapshot.Running[r.Run] = r.Percent
 		if r.Checkpoint != "" {
--- a/worker/list_test.go
+++ b/worker/list_test.go
@@ -10,7 +10,7 @@
 
 // answerCutPoll answers a poll with a list of ends from which the last ones are missing.
 func (d *driver) answerCutPoll() {
-	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Born: d.born, Clock: d.clock, EndsCut: true})
+	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Round: d.g.PollRound(), Born: d.born, Clock: d.clock, EndsCut: true})
 }
 
 // TestUnlistedEndRunsAgain guards against a task that starts again although it has ended
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -24,6 +24,7 @@
 // Snapshot is the state of a worker as the answer to a poll shows it.
 type Snapshot struct {
 	Token       uint64 // of the poll
+	Round       uint64 // of the poll; see Guard.PollRound
 	Born        int64
 	Clock       time.Duration
 	Running     map[work.Run]int    // percent of the work done
@@ -49,6 +50,7 @@
 	g.updateClock(now, snapshot.Clock)
 	g.takeFirstSnapshot(now, &snapshot)
 	g.outOfContact, g.noListener, g.lastPoll = false, false, now
+	g.answeredRound = max(g.answeredRound, snapshot.Round)
 	if g.token <= g.bornToken() {
 		g.raiseToken()
 	}
@@ -197,6 +199,7 @@
 
 // PollFailed records that the worker did not answer a poll.
 func (g *Guard) PollFailed(now time.Time) {
+	g.pollRound++
 	g.noListener = false
 	g.outOfContact = now.Sub(g.lastPoll) > g.cfg.WorkerContactTimeout
 	g.expireRuns(now)
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticbay/work"
+	"masticbay/worker"
 )
 
 // TestRestartedWorkerKeepsItsOldDescription guards against tasks on a worker that has returned as
@@ -40,3 +41,28 @@
 		}
 	}
 }
+
+// TestFirstPollDropsEndsOfRestartedWorker guards against an end that is lost: the first poll that another
+// incarnation of the worker gets drops its ends up to the last number of the earlier one, before the agent
+// has seen them.
+func TestFirstPollDropsEndsOfRestartedWorker(t *testing.T) {
+	d := newDriver(t)
+	d.startRunning(0, 1)
+	d.answerPollWithEnd(work.Done, run(0, 1))
+	if n := d.g.AckedEnd(); n != 1 {
+		t.Fatalf("the worker may drop ends up to %d, want 1", n)
+	}
+	round := d.g.PollRound()
+	d.g.PollFailed(d.now)
+	if n := d.g.AckedEnd(); n != 0 {
+		t.Errorf("another incarnation may drop ends up to %d before it has answered", n)
+	}
+	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Round: round, Born: d.born, Clock: d.clock})
+	if n := d.g.AckedEnd(); n != 0 {
+		t.Errorf("ends up to %d are dropped after the answer to a poll that was sent before the failed one", n)
+	}
+	d.answerPoll(0)
+	if n := d.g.AckedEnd(); n != 1 {
+		t.Errorf("the worker may drop ends up to %d after an answer, want 1", n)
+	}
+}
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -177,10 +177,16 @@
 	g.uncommitted = slices.DeleteFunc(g.uncommitted, func(n uint64) bool { return n == endNumber })
 }
 
-// AckedEnd returns the number up to which the worker may drop ends.
+// PollRound returns the round of a poll that is sent now. Its answer shows which incarnation of the worker
+// has answered since the last poll that was not.
+func (g *Guard) PollRound() uint64 { return g.pollRound }
+
+// AckedEnd returns the number up to which the worker may drop ends. After a poll without an answer,
+// another incarnation may get the next one. It numbers its ends anew, so it must drop none by the numbers of
+// the earlier one.
 func (g *Guard) AckedEnd() uint64 {
 	switch {
-	case g.mayListInherited:
+	case g.mayListInherited, g.answeredRound < g.pollRound:
 		return 0
 	case len(g.uncommitted) > 0:
 		return slices.Min(g.uncommitted) - 1
--- a/worker/tenure_test.go
+++ b/worker/tenure_test.go
@@ -23,7 +23,7 @@
 // answerPollWithEnd answers a poll that lists one end.
 func (d *driver) answerPollWithEnd(end work.End, r work.Run) {
 	d.lastEnd++
-	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Born: d.born, Clock: d.clock, Ended: []worker.Ended{{Number: d.lastEnd, Run: r, End: end}}})
+	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Round: d.g.PollRound(), Born: d.born, Clock: d.clock, Ended: []worker.Ended{{Number: d.lastEnd, Run: r, End: end}}})
 }
 
 func newDriverWithTenure(t *testing.T) *driver {
@@ -55,7 +55,7 @@
 	d.g.Started(d.now, run(0, 1), "", false)
 	d.g.Started(d.now, run(1, 1), "", false)
 	d.lastEnd++
-	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Born: d.born, Clock: d.clock,
+	d.g.PollAnswered(d.now, worker.Snapshot{Token: d.g.Token(), Round: d.g.PollRound(), Born: d.born, Clock: d.clock,
 		Running: map[work.Run]int{run(1, 1): 10}, Ended: []worker.Ended{{Number: 1, Run: run(0, 1), End: work.Done}}})
 	d.applyTenure("e2", 2)
 	events := d.g.Events("e2", 0)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -132,6 +132,8 @@
 	ackedToken       uint64 // highest token that the worker acknowledged
 	fencedFrom       uint64 // from this token on, an acknowledgement shows that no order to an earlier incarnation takes effect
 	lastEnd          uint64 // number of the last end that was processed
+	pollRound        uint64 // rises with each poll that is not answered
+	answeredRound    uint64 // highest round of a poll that was answered
 	workerClock      time.Duration
 	clockReadAt      time.Time     // when workerClock was read, at the latest
 	maxLeaseUntil    time.Duration // end of the longest lease that was requested, on the worker's clock
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -62,7 +62,7 @@
 
 // answerPoll answers a poll that was sent with the current token.
 func (d *driver) answerPoll(percent int, running ...work.Run) {
-	snapshot := worker.Snapshot{Token: d.g.Token(), Born: d.born, Clock: d.clock, Running: make(map[work.Run]int)}
+	snapshot := worker.Snapshot{Token: d.g.Token(), Round: d.g.PollRound(), Born: d.born, Clock: d.clock, Running: make(map[work.Run]int)}
 	for _, r := range running {
 		snapshot.Running[r] = percent
 	}
