Let no task start elsewhere while a start of it may be carried out

Cause: the agent took a start for void by a list under a higher token. That holds for the incarnation of the worker that made the list; the next one has seen no token, may have the ID that the start names, and its clock begins anew.

As long as one of a run may be left, no end of the run is reported, so no home starts the task elsewhere, no seal is answered and no list hides the run. A task that may run again after it was done is sent again to the same worker, which never has two runs of a task.

--- a/bench/replay_worker.go
+++ b/bench/replay_worker.go
@@ -91,7 +91,7 @@
 // start carries out an order to start a run.
 func (w *modelWorker) start(o worker.Order) {
 	if w.down {
-		w.guard.Unanswered(o.Start.Run)
+		w.guard.Unanswered(w.replay.now(), o.Start.Run)
 		return
 	}
 	w.replay.startCount++
--- a/failure/fleet_reborn_test.go
+++ b/failure/fleet_reborn_test.go
@@ -76,9 +76,6 @@
 // TestLateStartAfterRestartUnderTheSameID is TestLateStartAfterRestartOfWorker for workers that
 // return under the ID that the late start names.
 func TestLateStartAfterRestartUnderTheSameID(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("KNOWN-RED.txt, 8")
-	}
 	testLateStartAfterRestart(t, func(int) (newID string) { return "" })
 }
 
--- a/schedule/end.go
+++ b/schedule/end.go
@@ -39,11 +39,10 @@
 	}
 	slot, index := j.Slot(e.Run.Task), e.Run.Task.Index
 	tk := &j.tasks[slot][index]
-	t.release(j.Step(slot), tk)
+	c.releaseRun(t, j, slot, tk)
 	j.running--
 	tk.stopping = false
 	j.recordEnd(now, t, tk, e.End)
-	c.countRunning(j, tk, -tk.speed)
 	if e.Checkpoint != "" {
 		j.setCheckpoint(slot, index, e.Checkpoint)
 	}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -74,8 +74,11 @@
 	wasCold    bool             // the worker was cold when the task was placed
 	beside     interference.Set // kinds that ran on the worker when the task was placed
 	stopping   bool
-	near       bool    // its worker is in the rack of its affinity
-	freed      float64 // its part of target.freed
+	// idle is set while its run does not run, and transitUntil is when no start of the run can be carried out any more.
+	idle         bool
+	transitUntil time.Time
+	near         bool    // its worker is in the rack of its affinity
+	freed        float64 // its part of target.freed
 }
 
 func newJob(now time.Time, w work.Job, runNumberBase int) *job {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -259,7 +259,10 @@
 	if j.Lasts {
 		estimate, expected = 0, 0
 	}
-	c.decisions.Starts[t.agent] = append(c.decisions.Starts[t.agent], work.Start{Run: run, Spec: j.Spec, Room: step.Room, Estimate: estimate, Expected: expected, Trace: j.Trace, Stored: j.Stored, Checkpoint: tk.checkpoint})
+	c.decisions.Starts[t.agent] = append(c.decisions.Starts[t.agent], work.Start{
+		Run: run, Spec: j.Spec, Room: step.Room, Estimate: estimate, Expected: expected, Trace: j.Trace, Stored: j.Stored,
+		Repeatable: j.Lasts || step.Speculative, Checkpoint: tk.checkpoint,
+	})
 }
 
 // placeRun records that a run of a pending task is on a worker since startedAt.
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -19,9 +19,13 @@
 	Events  []Event
 	Idle    []work.Run   // stalled runs: mature, and without progress
 	Slow    []Projection // runs that go far slower than expected
-	Epoch   uint64       // of the tenure that the agent obeys
-	Asked   bool         // Kept was requested and is complete
-	Kept    []Kept       // inherited runs: those of stored jobs that a previous holder placed
+	// Transits holds the runs that have changed with regard to their starts in transit since the version
+	// for which the home has asked, and TransitVersion the present one.
+	Transits       []TransitRun
+	TransitVersion uint64
+	Epoch          uint64 // of the tenure that the agent obeys
+	Asked          bool   // Kept was requested and is complete
+	Kept           []Kept // inherited runs: those of stored jobs that a previous holder placed
 	// Evacuated is set if the agent refuses starts because its data centre is evacuated.
 	Evacuated bool
 	// RunsOfOthers holds, by job, the highest number of a run that another home has ordered, stored
@@ -49,6 +53,9 @@
 // Projection is the least run time to expect of a slow run.
 type Projection = worker.Projection
 
+// TransitRun is a run of which a start may still be carried out.
+type TransitRun = worker.TransitRun
+
 // ReportOf returns the report of a worker's guard to a home, without the incarnation
 // of the agent.
 func ReportOf(g *worker.Guard, home string, acked uint64) Report {
@@ -82,7 +89,7 @@
 		}
 		c.awaitFollower(now, t)
 		c.lapseRuns(now, t, "agent started anew", true)
-		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted, t.knownSince = r.Life, 0, 0, nil, now
+		t.life, t.lastSeq, t.confirmedEpoch, t.uncommitted, t.knownSince, t.transitVersion = r.Life, 0, 0, nil, now, 0
 		c.requireSeals(agent)
 	}
 	if t.Born != r.Target.Born {
@@ -107,6 +114,7 @@
 			c.applyEvent(now, t, e)
 		}
 	}
+	changed = c.takeTransits(now, t, r) || changed
 	c.orderSeals(agent)
 	c.stopLasting(now, t)
 	c.recordLeave(now, t, r)
--- a/schedule/stall.go
+++ b/schedule/stall.go
@@ -55,6 +55,9 @@
 		return false
 	}
 	tk := &j.tasks[j.Slot(r.Task)][r.Task.Index]
+	if tk.idle {
+		return false // its worker is not at fault
+	}
 	limit := max(time.Duration(c.overdueFactor(j)*float64(tk.expected)), minOverdueTime)
 	return !tk.stopping && now.Sub(tk.startedAt) > limit && now.Sub(t.lastContact) < c.cfg.SuspectAfter
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -40,6 +40,7 @@
 	cold           coldWorker
 	uncommitted    []uint64  // sequence numbers of events that the agent must not discard yet
 	leavesAt       time.Time // least time when a draining worker is removed; zero if it is not known
+	transitVersion uint64    // of the last report on starts in transit
 	knownSince     time.Time // first contact with this incarnation of the agent
 }
 
--- a/site/agent.go
+++ b/site/agent.go
@@ -214,7 +214,7 @@
 	t, serves := a.guard.Target()
 	a.log.Info().Str("worker", t.ID).Int64("born", t.Born).Bool("draining", t.Draining).Bool("serves", serves).
 		Int("cpu", t.Capacity.CPU).Strs("labels", t.Labels).Int64("bornBefore", before.Born).Int("runs", open.runs).
-		Int("startsUnanswered", open.unanswered).Int("startsConcluded", open.concluded).Uint64("token", open.token).Msg("worker changed")
+		Int("startsUnanswered", open.unanswered).Int("startsInTransit", open.inTransit).Uint64("token", open.token).Msg("worker changed")
 	a.targetVersion++
 	a.signalEvents()
 }
--- a/site/agent_methods.go
+++ b/site/agent_methods.go
@@ -48,7 +48,7 @@
 		a.applyClaim(args)
 		a.takeOrders(args)
 	} else {
-		args.Known, args.Acked = 0, 0 // they number the events of an earlier incarnation
+		args.Known, args.Acked, args.Transits = 0, 0, 0 // they are of an earlier incarnation
 	}
 	if wasPaused && !a.guard.RenewalPaused() {
 		a.signalEvents() // the worker takes tasks now
@@ -66,8 +66,10 @@
 	reply.Taken = a.lastOrders[args.Home]
 	reply.Report = a.reportFor(args.Home, args.Acked)
 	if args.Tenure.Kept {
+		args.Transits = 0 // the home does not know the runs yet that it may inherit
 		reply.Report.Asked, reply.Report.Kept = true, a.inheritedRuns()
 	}
+	reply.Report.TransitVersion, reply.Report.Transits = a.guard.TransitVersion(), a.guard.TransitRuns(a.now(), args.Home, args.Transits)
 	if reply.Target = a.targetVersion; args.Target == a.targetVersion && args.Life == a.life {
 		reply.Report.Target, reply.Report.Pace = work.Target{}, schedule.Pace{}
 	}
--- a/site/agent_orders.go
+++ b/site/agent_orders.go
@@ -23,6 +23,21 @@
 	a.reportStopped()
 	a.reportUnknown()
 	a.reportLease()
+	a.reportTransits()
+}
+
+// reportTransits logs what becomes of runs of which a start may still be carried out. The caller holds mu.
+func (a *Agent) reportTransits() {
+	for _, c := range a.guard.TakeTransitChanges() {
+		if c.SentAgain {
+			a.metrics.sentAgain.Inc(1)
+			a.runLog.Info().Str("run", c.Run.String()).Str("home", c.Home).Int64("leftMs", c.Left.Milliseconds()).Msg("start sent again")
+			continue
+		}
+		a.metrics.inTransit.Inc(1)
+		a.runLog.Warn().Str("run", c.Run.String()).Str("home", c.Home).Int64("leftMs", c.Left.Milliseconds()).
+			Str("end", string(c.End)).Str("reason", c.Reason).Msg("run waits: a start of it may still be carried out")
+	}
 }
 
 // reportLease logs when the lease is withheld or renewed again, and tells the homes. The
@@ -72,7 +87,7 @@
 		a.metrics.unanswered.Inc(1)
 		a.runLog.Warn().Err(err).Str("run", o.Start.Run.String()).Str("home", o.Home).Int64("born", o.Born).Uint64("token", o.Token).
 			Int64("leaseUntilMs", o.Until.Milliseconds()).Msg("start not answered")
-		a.guard.Unanswered(o.Start.Run)
+		a.guard.Unanswered(a.now(), o.Start.Run)
 		go a.poll(0) // with the higher fencing token
 		return
 	}
--- a/site/agent_unknown.go
+++ b/site/agent_unknown.go
@@ -60,7 +60,7 @@
 type openStarts struct {
 	runs       int
 	unanswered int
-	concluded  int // see worker.Guard.UnansweredStarts
+	inTransit  int // see worker.Guard.UnansweredStarts
 	token      uint64
 }
 
@@ -70,6 +70,6 @@
 		return o
 	}
 	o.runs, o.token = a.guard.Running(), a.guard.Token()
-	o.unanswered, o.concluded = a.guard.UnansweredStarts(a.now())
+	o.unanswered, o.inTransit = a.guard.UnansweredStarts()
 	return o
 }
--- a/site/exchange_check_test.go
+++ b/site/exchange_check_test.go
@@ -51,7 +51,12 @@
 }
 
 func checkExchanges(t *testing.T, seed uint64) {
-	w := newExchangeWalk(seed)
+	t.Helper()
+	checkWalk(t, seed, newExchangeWalk(seed, nil))
+}
+
+func checkWalk(t *testing.T, seed uint64, w *exchangeWalk) {
+	t.Helper()
 	if err := w.play(); err != nil {
 		t.Errorf("seed %d: %v\n%s", seed, err, strings.Join(w.log[max(0, len(w.log)-*exchangeLines):], "\n"))
 	}
--- a/site/exchange_walk_test.go
+++ b/site/exchange_walk_test.go
@@ -20,18 +20,20 @@
 // virtual time. Messages arrive late and in any order. What may start is computed from the records
 // of the workers, without the code under test.
 type exchangeWalk struct {
-	rng      *rand.Rand
-	clock    clock.Manual
-	store    *store.Memory
-	agents   []*exchangeAgent
-	homes    []*exchangeHome // the last one takes the ledger
-	nextHome time.Time       // when another home takes the ledger
-	messages []message
-	accepted map[string]bool // stored jobs; false until the store has them
-	noted    map[work.TaskRef]time.Time
-	calm     bool // no faults, and messages take no time
-	log      []string
-	err      error
+	rng       *rand.Rand
+	clock     clock.Manual
+	store     *store.Memory
+	agents    []*exchangeAgent
+	homes     []*exchangeHome // the last one takes the ledger
+	nextHome  time.Time       // when another home takes the ledger
+	messages  []message
+	accepted  map[string]bool // stored jobs; false until the store has them
+	noted     map[work.TaskRef]time.Time
+	startedAt map[work.TaskRef]time.Time // last start
+	calm      bool                       // no faults, and messages take no time
+	late      *lateOrders                // nil if workers answer all orders
+	log       []string
+	err       error
 }
 
 // message is something that takes effect later.
@@ -54,21 +56,24 @@
 const (
 	exchangeFaultTime = 3500 * time.Millisecond
 	exchangeCalmTime  = 20 * time.Second // the longest wait for leases of a previous holder included
-	exchangeAgents    = 2
+	// lateCalmTime includes two waits for starts in transit.
+	lateCalmTime   = exchangeCalmTime + 2*orderDelay
+	exchangeAgents = 2
 	// exchangePollInterval is the time between polls of a worker.
 	exchangePollInterval = 5 * time.Millisecond
 )
 
 var exchangeMetrics = newEntryMetrics() // metrics of an entry last as long as the process
 
-func newExchangeWalk(seed uint64) *exchangeWalk {
-	w := &exchangeWalk{rng: rand.New(rand.NewPCG(seed, 58)), accepted: make(map[string]bool), noted: make(map[work.TaskRef]time.Time)}
+func newExchangeWalk(seed uint64, late *lateOrders) *exchangeWalk {
+	w := &exchangeWalk{rng: rand.New(rand.NewPCG(seed, 58)), accepted: make(map[string]bool), noted: make(map[work.TaskRef]time.Time), startedAt: make(map[work.TaskRef]time.Time), late: late}
 	for start := time.Unix(100000, 0); w.now().Before(start); { // a Duration holds 292 years at most
 		w.clock.Advance(start.Sub(w.now()))
 	}
 	w.store = store.NewMemory(&w.clock)
 	for i := range exchangeAgents {
-		x := &exchangeAgent{name: fmt.Sprint("a", i), since: w.now(), running: make(map[work.Run]time.Time), lapsed: make(map[uint64]bool)}
+		x := &exchangeAgent{name: fmt.Sprint("a", i)}
+		w.startWorker(x, x.name, firstClock)
 		w.agents = append(w.agents, x)
 		w.startAgent(x)
 	}
@@ -133,7 +138,11 @@
 		w.step(time.Duration(w.rng.IntN(4)*w.rng.IntN(4000)) * time.Microsecond)
 	}
 	w.calm = true
-	for end := w.now().Add(exchangeCalmTime); w.now().Before(end) && w.err == nil && !w.allEnded(); {
+	calmTime := exchangeCalmTime
+	if w.late != nil {
+		calmTime = lateCalmTime
+	}
+	for end := w.now().Add(calmTime); w.now().Before(end) && w.err == nil && !w.allEnded(); {
 		w.step(10 * time.Millisecond)
 	}
 	if open := w.openJobs(); w.err == nil && len(open) > 0 {
@@ -168,7 +177,7 @@
 		w.nextHome = w.now().Add(time.Duration(100+w.rng.IntN(700)) * time.Millisecond)
 		w.replaceHome()
 	}
-	if w.rng.IntN(600) == 0 {
+	if w.rng.IntN(600) == 0 && w.late.restartsAgents() {
 		x := w.agents[w.rng.IntN(len(w.agents))]
 		w.note("%s restarts", x.name)
 		w.startAgent(x)
--- a/site/link.go
+++ b/site/link.go
@@ -144,7 +144,7 @@
 	l.h.deliverDecisions()
 	args := SyncArgs{Home: l.h.e.life, Life: l.latest.life, Echo: l.echo, Orders: l.orders, Target: l.targetVersion, Wait: wait}
 	if life, known := l.h.core.LastReceived(l.agent); life == l.latest.life {
-		args.Known, args.Acked = known, l.h.core.Acked(l.agent)
+		args.Known, args.Acked, args.Transits = known, l.h.core.Acked(l.agent), l.h.core.TransitVersion(l.agent)
 	}
 	args.Tenure, args.Evacuation = l.ledgerTenure(), l.h.e.evacuations.set()
 	args.Claim = l.h.claimFor(l.agent)
--- a/site/messages.go
+++ b/site/messages.go
@@ -53,6 +53,8 @@
 	Wait   time.Duration // for events (long poll)
 	// Evacuation is the evacuated data centres, as the home knows them.
 	Evacuation evacuation.Set
+	// Transits is the version of the starts in transit that the home has; 0 for none.
+	Transits uint64
 }
 
 // tenureArgs describes a home's tenure of the ledger to an agent.
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -70,6 +70,8 @@
 	started     tally.Counter   // starts that the worker took
 	refused     tally.Counter   // starts that the worker refused
 	unanswered  tally.Counter   // starts without an answer
+	sentAgain   tally.Counter   // starts that were sent again to the worker
+	inTransit   tally.Counter   // runs that wait, as a start of them may still be carried out
 	pollsFailed tally.Counter   // polls without an answer
 	listsCut    tally.Counter   // polls whose list of ends was cut off
 	workerConns tally.Gauge     // connections to the worker that were opened so far
@@ -86,7 +88,8 @@
 	s := all.Scope()
 	return &agentMetrics{
 		all: all, started: s.Counter("starts_taken"), refused: s.Counter("starts_refused"),
-		unanswered: s.Counter("orders_unanswered"), pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), workerConns: s.Gauge("worker_connections_opened"), orphaned: s.Counter("runs_orphaned"),
+		unanswered: s.Counter("orders_unanswered"), sentAgain: s.Counter("starts_sent_again"), inTransit: s.Counter("runs_in_transit"),
+		pollsFailed: s.Counter("looks_failed"), listsCut: s.Counter("lists_cut"), workerConns: s.Gauge("worker_connections_opened"), orphaned: s.Counter("runs_orphaned"),
 		evacuated: s.Gauge("evacuated_data_centres"),
 		startTime: s.Histogram("start_seconds", latencyBuckets), stopTime: s.Histogram("stop_seconds", latencyBuckets),
 		unknownListed: newUnknownCounters(s, "unknown_runs_listed"), unknownEnded: newUnknownCounters(s, "unknown_runs_ended"),
--- a/work/work.go
+++ b/work/work.go
@@ -23,6 +23,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -243,8 +244,12 @@
 	Trace      string        // W3C traceparent of the job's hop to its home, the coordinator that places it
 	Checkpoint string        // where to resume; empty for the beginning
 	Stored     bool          // its job is stored
+	Repeatable bool          // although its job is stored, the task may run again after it was done
 }
 
+// MayRepeat reports whether the task may run again after it was done, though never twice at once.
+func (s *Start) MayRepeat() bool { return !s.Stored || s.Repeatable }
+
 // Target describes a worker as it reports itself.
 type Target struct {
 	ID       string
@@ -261,3 +266,8 @@
 	// ColdLeft is how much longer the worker is slow after its start, counted from this description.
 	ColdLeft time.Duration
 }
+
+// SameKind reports whether what tasks require of a worker, its room aside, is the same for both.
+func (t *Target) SameKind(o *Target) bool {
+	return t.Service == o.Service && t.Zone == o.Zone && slices.Equal(t.Labels, o.Labels)
+}
--- a/worker/claim.go
+++ b/worker/claim.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"masticbay/work"
 )
 
 // Two entries may act as home at the same time, and neither knows which tasks the other one
@@ -133,14 +135,22 @@
 // home has ordered. Stored jobs are left out; see InheritedRuns.
 func (g *Guard) RunsOfOthers(home string) map[string]int {
 	var runs map[string]int
-	for _, r := range g.runs {
-		if r.entry == home || r.start.Stored {
-			continue
+	add := func(r work.Run, entry string) {
+		if entry == home {
+			return
 		}
 		if runs == nil {
 			runs = make(map[string]int)
 		}
-		runs[r.start.Run.Task.Job] = max(runs[r.start.Run.Task.Job], r.start.Run.Number)
+		runs[r.Task.Job] = max(runs[r.Task.Job], r.Number)
+	}
+	for _, r := range g.runs {
+		if !r.start.Stored {
+			add(r.start.Run, r.entry)
+		}
+	}
+	for _, t := range g.transits {
+		add(t.run, t.entry)
 	}
 	return runs
 }
--- a/worker/contact_test.go
+++ b/worker/contact_test.go
@@ -55,7 +55,7 @@
 			d := newDriverWithTenure(t)
 			d.order(startOf(stored))
 			d.advance(50 * time.Millisecond)
-			d.g.Unanswered(run(0, 1))
+			d.g.Unanswered(d.now, run(0, 1))
 			if restarted {
 				d.born, d.clock = 8, time.Second
 				d.answerEmptyPoll(0)
--- a/worker/entry.go
+++ b/worker/entry.go
@@ -75,12 +75,16 @@
 		s := g.homes[r.entry]
 		if r.stopRequestedAt.IsZero() && now.Sub(s.lastContact) > g.maxSilence(r) {
 			g.stop(now, r, stopNoContact)
+			if r.phase == inTransit {
+				continue
+			}
 			stopped = append(stopped, r.start.Run)
 		}
 	}
 	g.expireOutOfContact(now)
 	g.resumeRenewal(now)
 	g.updateWithheld(now)
+	g.fenceTransits(now)
 	for name, s := range g.homes {
 		if now.Sub(s.lastContact) > g.cfg.EventRetention && !g.hasRuns(name) {
 			delete(g.homes, name)
--- a/worker/evacuation.go
+++ b/worker/evacuation.go
@@ -21,7 +21,7 @@
 	}
 	for _, ref := range g.sortedTasks() {
 		if r := g.runs[ref]; r.phase == ordered {
-			g.Unanswered(r.start.Run)
+			g.fenceStart(r)
 		}
 	}
 	return g.NeedsPoll()
--- a/worker/evacuation_test.go
+++ b/worker/evacuation_test.go
@@ -68,8 +68,12 @@
 	}
 	d.advance(2 * time.Millisecond)
 	d.answerPoll(0, run(1, 1)) // the worker has carried out one of them
-	if !d.g.Knows(run(1, 1)) || d.g.Knows(run(0, 1)) {
-		t.Error("want the run that was carried out to go on, and the other to have ended")
+	if !d.g.Knows(run(1, 1)) || !d.g.Knows(run(0, 1)) {
+		t.Error("want the run that was carried out to go on, and the other to wait for its answer")
+	}
+	d.g.Started(d.now, run(0, 1), "fence", true)
+	if e := d.lastEvent(work.Refused); e.Run != run(0, 1) || e.Reason != worker.Evacuated {
+		t.Errorf("event %+v, want the refusal of the start that was fenced", e)
 	}
 	if orders := d.g.Take(); len(orders) != 0 {
 		t.Errorf("orders %+v, want none: runs end in place", orders)
@@ -81,7 +85,7 @@
 func TestFencedStartIsNotRepeatedWhenEvacuated(t *testing.T) {
 	d := newDriverIn(t, "a")
 	d.order(start(0, 1, 10))
-	d.g.Unanswered(run(0, 1)) // raises the token
+	d.g.Unanswered(d.now, run(0, 1)) // raises the token
 	d.order(start(1, 1, 10))
 	d.g.SetEvacuated(evacuation.New(1, []string{"a"}))
 	d.g.Started(d.now, run(1, 1), "fence", true)
@@ -92,6 +96,7 @@
 	if n := d.g.Running(); n != 0 {
 		t.Errorf("%d runs left, want none", n)
 	}
+	d.wantInTransit(run(0, 1))
 }
 
 // TestStartsWaitForTheEvacuatedDataCentres guards against starts in an evacuated data centre
--- a/worker/leave.go
+++ b/worker/leave.go
@@ -35,7 +35,9 @@
 	}
 	g.raiseToken()
 	for _, r := range g.runs {
-		r.fence = g.token
+		if r.phase != inTransit {
+			r.fence = g.token
+		}
 	}
 }
 
--- a/worker/list_test.go
+++ b/worker/list_test.go
@@ -19,7 +19,7 @@
 	for _, restarted := range []bool{false, true} {
 		d := newDriver(t)
 		d.order(start(0, 1, 10))
-		d.g.Unanswered(run(0, 1))
+		d.g.Unanswered(d.now, run(0, 1))
 		if restarted {
 			d.born, d.clock = 8, time.Second
 			d.sendHeartbeat(false)
@@ -39,7 +39,7 @@
 func TestCutListNeedsNoPollAtOnce(t *testing.T) {
 	d := newDriver(t)
 	d.order(start(0, 1, 10))
-	d.g.Unanswered(run(0, 1))
+	d.g.Unanswered(d.now, run(0, 1))
 	if !d.g.NeedsPoll() {
 		t.Error("no poll with the higher token")
 	}
@@ -48,5 +48,5 @@
 		t.Error("another poll at once")
 	}
 	d.answerPoll(0)
-	d.lastEvent(work.Refused)
+	d.wantSentAgain(run(0, 1))
 }
--- a/worker/order.go
+++ b/worker/order.go
@@ -53,6 +53,20 @@
 func (g *Guard) refusalReason(now time.Time, entry string, echo time.Time, s *work.Start) string {
 	all, _ := g.Used("")
 	_, occupied := g.runs[s.Run.Task]
+	reason := g.unreadyReason(now, entry, echo, s)
+	switch {
+	case reason != "":
+		return reason
+	case occupied:
+		return Occupied
+	case !g.target.Capacity.Sub(all).Holds(s.Room):
+		return NoRoom
+	}
+	return ""
+}
+
+// unreadyReason returns why a start is refused, whatever runs on the worker; empty if it is not.
+func (g *Guard) unreadyReason(now time.Time, entry string, echo time.Time, s *work.Start) string {
 	switch {
 	case g.isSealed(s.Run):
 		return SealedJob
@@ -66,16 +80,14 @@
 		return Untenured
 	case now.Sub(echo) > g.cfg.OrderMaxAge, echo.After(now):
 		return StaleEcho
-	case occupied:
-		return Occupied
-	case !g.target.Capacity.Sub(all).Holds(s.Room):
-		return NoRoom
 	}
 	return ""
 }
 
 func (g *Guard) sendStart(now time.Time, r *run) {
-	r.phase, r.token, r.sentAt, r.born = ordered, g.token, now, g.target.Born
+	r.phase, r.token, r.sentAt, r.born, r.kind = ordered, g.token, now, g.target.Born, g.target
+	r.sent++
+	r.awaitsAnswer = true
 	g.orders = append(g.orders, Order{Worker: g.target.ID, Start: r.start, Token: g.token, Until: g.LeaseUntil(now), Home: r.entry, Born: r.born})
 }
 
@@ -90,9 +102,22 @@
 // worker accepted it; tokenRejected means that it has seen a higher token.
 func (g *Guard) Started(now time.Time, r work.Run, reason string, tokenRejected bool) {
 	known, ok := g.runs[r.Task]
-	if !ok || known.start.Run != r || known.phase != ordered {
+	if !ok || known.start.Run != r || !known.awaitsAnswer {
 		return
 	}
+	known.awaitsAnswer = false
+	if reason != "" {
+		known.sent--
+	}
+	if known.phase != ordered {
+		if known.phase == unclear && known.sent == 0 {
+			if g.Evacuated() {
+				reason = Evacuated
+			}
+			g.finish(now, r.Task, work.Refused, reason)
+		}
+		return // the next list decides
+	}
 	switch {
 	case reason == "":
 		known.phase = running
@@ -112,12 +137,20 @@
 	}
 }
 
-// Unanswered records that a start got no answer. The token must then rise.
-func (g *Guard) Unanswered(r work.Run) {
+// Unanswered records that a start gets no answer: the call that sent it has ended.
+func (g *Guard) Unanswered(now time.Time, r work.Run) {
 	known, ok := g.runs[r.Task]
-	if !ok || known.start.Run != r || known.phase != ordered {
+	if !ok || known.start.Run != r || !known.awaitsAnswer {
 		return
 	}
+	g.orderUnanswered(now, known)
+	if known.phase == ordered {
+		g.fenceStart(known)
+	}
+}
+
+// fenceStart raises the token, so that the next list shows whether a start was carried out.
+func (g *Guard) fenceStart(known *run) {
 	known.phase = unclear
 	if known.token >= g.token {
 		g.raiseToken()
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -96,11 +96,14 @@
 			continue
 		}
 		known.listed()
+		if known.carriedOut(); known.phase == inTransit {
+			g.setTransitChanged(known)
+		}
 		g.updateProgress(now, known, snapshot.Running[r])
 		if checkpoint := snapshot.Checkpoints[r]; checkpoint != "" {
 			known.checkpoint = checkpoint
 		}
-		if known.phase == unclear {
+		if known.phase == unclear || known.phase == inTransit {
 			known.phase = running
 		}
 		if !known.stopRequestedAt.IsZero() && known.phase != ordered && now.Sub(known.stopRequestedAt) > stopRetryInterval {
@@ -118,13 +121,22 @@
 			g.checkUnlisted(now, known, snapshot.Token)
 			continue
 		}
-		if known.phase != unclear || known.token >= snapshot.Token {
+		if known.phase == inTransit {
+			g.reconcileTransit(now, known, snapshot.Token)
+			continue
+		}
+		if known.phase != unclear || known.token >= snapshot.Token || known.awaitsAnswer {
 			continue
 		}
-		if _, listed := snapshot.Running[known.start.Run]; !listed {
-			end, reason := known.endIfUnlisted()
-			g.finish(now, ref, end, reason)
+		if _, listed := snapshot.Running[known.start.Run]; listed {
+			continue
 		}
+		if known.isTransitPossible(now) && g.mayStartAgain(now, known) {
+			g.startAgain(now, known)
+			continue
+		}
+		end, reason := known.endIfUnlisted()
+		g.finish(now, ref, end, reason)
 	}
 }
 
@@ -223,7 +235,7 @@
 	switch r.phase {
 	case running, stopping:
 		return true
-	case unclear:
+	case unclear, inTransit:
 		return g.noOrderInTransit(now, r)
 	}
 	return false // the answer to its start is awaited
@@ -241,6 +253,9 @@
 	if g.renewedAt.After(lastOrder) {
 		lastOrder = g.renewedAt
 	}
+	if r.isTransitPossible(now) {
+		return false
+	}
 	longestLease := time.Duration(float64(max(g.cfg.LongestLease, g.cfg.Lease)) * maxClockDrift)
 	return now.Sub(lastOrder) > g.cfg.OrderDelay+longestLease+leaseSlack
 }
--- a/worker/seal.go
+++ b/worker/seal.go
@@ -29,8 +29,8 @@
 }
 
 // covers reports whether the request waits for the end of a run.
-func (q *sealRequest) covers(r *run) bool {
-	return r.start.Run.Task.Job == q.seal.Job && (r.entry != q.entry || r.start.Run.Number <= q.seal.UpTo)
+func (q *sealRequest) covers(r work.Run, entry string) bool {
+	return r.Task.Job == q.seal.Job && (entry != q.entry || r.Number <= q.seal.UpTo)
 }
 
 // Seal seals jobs for an entry. Each seal adds an event that ends as work.Sealed, with the
@@ -41,7 +41,7 @@
 		g.seals[s.Job] = sealState{upTo: max(s.UpTo, g.seals[s.Job].upTo), sealedAt: now}
 		q := sealRequest{entry: entry, seal: s}
 		for _, ref := range g.sortedTasks() {
-			if r := g.runs[ref]; q.covers(r) && r.stopRequestedAt.IsZero() {
+			if r := g.runs[ref]; q.covers(r.start.Run, r.entry) && r.stopRequestedAt.IsZero() {
 				g.stop(now, r, stopSealed)
 			}
 		}
@@ -73,11 +73,11 @@
 // hasRunOf reports whether a run that a request covers may be active.
 func (g *Guard) hasRunOf(q *sealRequest) bool {
 	for _, r := range g.runs {
-		if q.covers(r) {
+		if q.covers(r.start.Run, r.entry) {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(g.transits, func(t transit) bool { return q.covers(t.run, t.entry) })
 }
 
 // forgetSeals removes the requests of entries that were removed, and seals of which no
--- a/worker/seal_test.go
+++ b/worker/seal_test.go
@@ -141,16 +141,18 @@
 		d := newSettledDriver(t)
 		sent := d.order(start(0, 1, 10))[0]
 		d.seal(1000)
-		d.g.Unanswered(run(0, 1))
+		d.g.Unanswered(d.now, run(0, 1))
 		d.g.PollAnswered(d.now, worker.Snapshot{Token: sent.Token, Born: d.born, Clock: d.clock})
 		d.wantSealed()
 		d.answerPoll(0)
+		d.wantSealed()
+		d.passTransit()
 		d.wantSealed(1000)
 	})
 	t.Run("rejected token", func(t *testing.T) {
 		d := newSettledDriver(t)
 		d.order(start(0, 1, 10), start(1, 1, 10))
-		d.g.Unanswered(run(1, 1)) // raises the token
+		d.g.Unanswered(d.now, run(1, 1)) // raises the token
 		d.seal(1000)
 		d.g.Started(d.now, run(0, 1), "fence", true)
 		if orders := d.g.Take(); len(orders) != 0 {
@@ -158,6 +160,8 @@
 		}
 		d.wantSealed()
 		d.answerPoll(0)
+		d.wantSealed()
+		d.passTransit()
 		d.wantSealed(1000)
 	})
 }
--- a/worker/stop.go
+++ b/worker/stop.go
@@ -24,7 +24,7 @@
 	if r.firstStopAt.IsZero() {
 		r.firstStopAt, r.stopReason = now, reason
 	}
-	if r.phase == ordered || r.phase == unclear {
+	if r.phase == ordered || r.phase == unclear || r.phase == inTransit {
 		return // the answer to the start decides first; a later poll repeats the stop
 	}
 	reason = r.stopReason
--- a/worker/tenure.go
+++ b/worker/tenure.go
@@ -134,7 +134,7 @@
 	}
 	hasStored := len(g.uncommitted) > 0
 	for _, ref := range g.sortedTasks() {
-		if r := g.runs[ref]; r.start.Stored {
+		if r := g.runs[ref]; r.start.Stored && r.phase != inTransit {
 			hasStored = true
 			if r.stopRequestedAt.IsZero() {
 				g.stop(now, r, stopNoHolder)
--- a/worker/unknown.go
+++ b/worker/unknown.go
@@ -181,18 +181,16 @@
 	return u
 }
 
-// UnansweredStarts returns the number of runs whose start is not answered, and that of starts
-// that were concluded not to have been carried out and are still in the time for it.
-func (g *Guard) UnansweredStarts(now time.Time) (open, concluded int) {
+// UnansweredStarts returns the number of runs whose start is not answered, and that of runs that do not run
+// and of which a start may still be carried out.
+func (g *Guard) UnansweredStarts() (open, waiting int) {
 	for _, r := range g.runs {
-		if r.phase == ordered || r.phase == unclear {
+		switch r.phase {
+		case ordered, unclear:
 			open++
+		case inTransit:
+			waiting++
 		}
 	}
-	for i := range g.history.past.elements {
-		if p := &g.history.past.elements[i]; p.Reason == NoAnswer && now.Sub(p.SentAt) <= g.cfg.OrderDelay {
-			concluded++
-		}
-	}
-	return open, concluded
+	return open, waiting
 }
--- a/worker/unknown_test.go
+++ b/worker/unknown_test.go
@@ -43,15 +43,17 @@
 	for _, restarted := range []bool{false, true} {
 		d := newDriver(t)
 		d.order(start(0, 1, 10))
-		d.g.Unanswered(run(0, 1))
-		if open, concluded := d.g.UnansweredStarts(d.now); open != 1 || concluded != 0 {
-			t.Errorf("%d starts unanswered, %d concluded", open, concluded)
+		d.g.Unanswered(d.now, run(0, 1))
+		if open, waiting := d.g.UnansweredStarts(); open != 1 || waiting != 0 {
+			t.Errorf("%d starts unanswered, %d in transit", open, waiting)
 		}
+		sentAt := d.now
+		d.orderStop(run(0, 1))
 		d.answerPoll(0)
-		d.advance(time.Second)
-		if open, concluded := d.g.UnansweredStarts(d.now); open != 0 || concluded != 1 {
-			t.Errorf("%d starts unanswered, %d concluded after the list", open, concluded)
+		if open, waiting := d.g.UnansweredStarts(); open != 0 || waiting != 1 {
+			t.Errorf("%d starts unanswered, %d in transit after the list", open, waiting)
 		}
+		d.passTransit()
 		bornBefore := d.born
 		if restarted {
 			d.born, d.clock = d.born+1, time.Second
@@ -59,7 +61,7 @@
 		}
 		d.answerPoll(20, run(0, 1))
 		u := d.wantUnknown(worker.EndDeclared, "", run(0, 1))
-		if p := u.Past; p == nil || p.Home != "e1" || p.End != work.Refused || p.Reason != worker.NoAnswer || p.Born != bornBefore || d.now.Sub(p.SentAt) != time.Second {
+		if p := u.Past; p == nil || p.Home != "e1" || p.End != work.Refused || p.Reason != worker.NoAnswer || p.Born != bornBefore || p.SentAt != sentAt {
 			t.Errorf("restarted %t: known of the run: %+v", restarted, u.Past)
 		}
 		if u.Born != d.born || u.Clock != d.clock || u.Percent != 20 {
--- a/worker/withhold.go
+++ b/worker/withhold.go
@@ -16,7 +16,7 @@
 		return true
 	}
 	for _, r := range g.runs {
-		if !r.start.Stored && g.isOverdue(now, r) {
+		if !r.start.Stored && r.phase != inTransit && g.isOverdue(now, r) {
 			return true
 		}
 	}
@@ -39,7 +39,7 @@
 		return 0
 	}
 	for _, r := range g.runs {
-		if !r.start.Stored {
+		if !r.start.Stored && r.phase != inTransit {
 			lag = max(lag, now.Sub(g.homeState(r.entry).lastContact)-g.cfg.RenewalContactAge)
 		}
 	}
--- a/worker/withhold_test.go
+++ b/worker/withhold_test.go
@@ -104,7 +104,7 @@
 	d := newDriverWithStopTime(t)
 	d.startRunning(0, 1)
 	d.order(start(1, 1, 10), start(2, 1, 10))
-	d.g.Unanswered(run(2, 1)) // raises the token
+	d.g.Unanswered(d.now, run(2, 1)) // raises the token
 	d.orderStop(run(0, 1))
 	d.g.Take()
 	d.advance(stopTime + time.Millisecond)
@@ -168,7 +168,7 @@
 func TestUnansweredStartReachesRestartedWorker(t *testing.T) {
 	d := newDriver(t)
 	d.order(start(0, 1, 10))
-	d.g.Unanswered(run(0, 1))
+	d.g.Unanswered(d.now, run(0, 1))
 	d.startRunning(1, 1)
 	d.advance(2 * time.Second)
 	d.g.PollFailed(d.now)
@@ -178,6 +178,8 @@
 	d.born, d.clock = 9, time.Second
 	d.sendHeartbeat(false)
 	d.answerPoll(0)
+	d.wantInTransit(run(0, 1))
+	d.passTransit()
 	if e := d.lastEvent(work.Lapsed); e.Run != run(0, 1) {
 		t.Errorf("run %v has ended, want %v", e.Run, run(0, 1))
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -84,10 +84,11 @@
 type phase int
 
 const (
-	ordered  phase = iota // sent, not answered
-	unclear               // not known whether it was started; a poll with a higher token decides
-	running               // known to run
-	stopping              // stop order sent
+	ordered   phase = iota // sent, not answered
+	unclear                // not known whether it was started; a poll with a higher token decides
+	running                // known to run
+	stopping               // stop order sent
+	inTransit              // does not run; a start of it may still be carried out
 )
 
 type run struct {
@@ -96,6 +97,14 @@
 	phase           phase
 	token           uint64        // with which its start was last sent
 	born            int64         // incarnation of the worker for which its start was last sent
+	kind            work.Target   // the worker as its start was last sent
+	sent            int           // starts that were sent and not refused
+	awaitsAnswer    bool          // the call that sent the last one has not ended
+	transitVersion  uint64        // of its last change with regard to its starts in transit
+	transitUntil    time.Time     // until then a start without an answer may be carried out; zero if there is none
+	end             work.End      // with which it ends once no start is left; see inTransit
+	endReason       string        // of end
+	endListed       bool          // the worker has listed end
 	orderedAt       time.Time     // first start order
 	sentAt          time.Time     // last start order
 	stopRequestedAt time.Time     // last stop request
@@ -157,6 +166,9 @@
 	evacuated        evacuation.Set
 	startsHeld       bool // until the evacuated data centres are known
 	history          history
+	transits         []transit
+	transitVersion   uint64          // of the last change of a run with regard to its starts in transit
+	transitChanges   []TransitChange // not taken yet
 }
 
 // NewGuard returns a Guard of a worker that has not sent a heartbeat yet.
@@ -178,8 +190,16 @@
 // OutOfContact reports whether the worker has not answered polls for a while.
 func (g *Guard) OutOfContact() bool { return g.outOfContact }
 
-// Running returns the number of runs that may be active.
-func (g *Guard) Running() int { return len(g.runs) }
+// Running returns the number of runs that may be active, without those that wait for a start in transit.
+func (g *Guard) Running() int {
+	n := 0
+	for _, r := range g.runs {
+		if r.phase != inTransit {
+			n++
+		}
+	}
+	return n
+}
 
 // Knows reports whether a run was ordered here and has not ended.
 func (g *Guard) Knows(r work.Run) bool {
@@ -211,7 +231,10 @@
 	g.ackedToken, g.lastEnd, g.workerClock, g.maxLeaseUntil = 0, 0, 0, 0
 	g.updateClock(now, clock)
 	for _, r := range g.runs {
-		r.phase, r.workerRestarted = unclear, true
+		if r.phase != inTransit {
+			r.phase = unclear
+		}
+		r.workerRestarted = true
 	}
 	clear(g.history.unknown)
 	g.raiseToken()
@@ -272,9 +295,12 @@
 }
 
 // Used returns the resources that the runs of all entries take, and those that
-// the runs of entries other than the given one take.
+// the runs of entries other than the given one take. A run in transit takes none.
 func (g *Guard) Used(entry string) (all, others work.Room) {
 	for _, r := range g.runs {
+		if r.phase == inTransit {
+			continue
+		}
 		all = all.Add(r.start.Room)
 		if r.entry != entry {
 			others = others.Add(r.start.Room)
@@ -289,7 +315,7 @@
 	return slices.SortedFunc(maps.Keys(g.runs), work.TaskRef.Compare)
 }
 
-// finish removes a run and adds an event for its entry.
+// finish removes a run and adds an event for its entry, unless the run has to wait for a start in transit.
 func (g *Guard) finish(now time.Time, ref work.TaskRef, end work.End, reason string) {
 	g.finishListed(now, ref, 0, end, reason)
 }
@@ -297,6 +323,16 @@
 // finishListed is finish for an end that the worker lists under a number.
 func (g *Guard) finishListed(now time.Time, ref work.TaskRef, endNumber uint64, end work.End, reason string) {
 	r := g.runs[ref]
+	if endNumber > 0 {
+		r.carriedOut()
+	}
+	if r.isTransitPossible(now) {
+		if end != work.Done || !r.start.MayRepeat() {
+			g.awaitTransit(now, r, end, reason, endNumber > 0)
+			return
+		}
+		g.transits = append(g.transits, transit{run: r.start.Run, entry: r.entry, until: now.Add(g.cfg.OrderDelay + g.cfg.WorkerContactTimeout)})
+	}
 	delete(g.runs, ref)
 	g.recordStopped(now, r, end)
 	g.rememberEnd(now, r, end, reason, endNumber > 0)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -104,13 +104,13 @@
 	d.lastEvent(work.Refused)
 }
 
-// The run may be placed elsewhere only after the worker has acknowledged a higher
-// token without listing the run.
+// TestUnansweredStartIsRefusedAfterHigherToken guards against a start that is sent again while the
+// worker may still carry out the one before.
 func TestUnansweredStartIsRefusedAfterHigherToken(t *testing.T) {
 	d := newDriver(t)
 	sent := d.order(start(0, 1, 10))[0]
 	snapshot := worker.Snapshot{Token: sent.Token, Born: d.born, Clock: d.clock}
-	d.g.Unanswered(run(0, 1))
+	d.g.Unanswered(d.now, run(0, 1))
 	if d.g.Token() <= sent.Token {
 		t.Fatal("token did not rise")
 	}
@@ -118,14 +118,19 @@
 	if n := len(d.g.Events("e1", 0)); n != 0 {
 		t.Fatal("run ended by a poll with the token of the order")
 	}
+	if orders := d.g.Take(); len(orders) != 0 {
+		t.Fatalf("orders %+v after a poll with the token of the order", orders)
+	}
 	d.answerPoll(0)
-	d.lastEvent(work.Refused)
+	if again := d.wantSentAgain(run(0, 1)); again.Token <= sent.Token {
+		t.Errorf("sent again with token %d, want above %d", again.Token, sent.Token)
+	}
 }
 
 func TestUnansweredStartThatRunsContinues(t *testing.T) {
 	d := newDriver(t)
 	d.order(start(0, 1, 10))
-	d.g.Unanswered(run(0, 1))
+	d.g.Unanswered(d.now, run(0, 1))
 	d.answerPoll(0, run(0, 1))
 	if n := len(d.g.Events("e1", 0)); n != 0 || d.g.Running() != 1 {
 		t.Errorf("%d events, %d runs", n, d.g.Running())
@@ -135,7 +140,7 @@
 func TestRejectedStartIsResentWithHigherToken(t *testing.T) {
 	d := newDriver(t)
 	d.order(start(0, 1, 10), start(1, 1, 10))
-	d.g.Unanswered(run(0, 1))
+	d.g.Unanswered(d.now, run(0, 1))
 	d.g.Started(d.now, run(1, 1), "fence", true)
 	resent := d.g.Take()
 	if len(resent) != 1 || resent[0].Token != d.g.Token() || resent[0].Start.Run != run(1, 1) {
