Wait for the starts in transit of a lost agent

What callers would see: TWICE. An agent reports that a start of a run may still be carried out, and is lost or restarts. Its home takes the run for lost and starts the task elsewhere, while the next incarnation of the worker carries the start out.

The end of the leases proves the end of a run, and nothing of a start that is under way.

Change: the home keeps such runs, without room, until TransitTime after its last contact with the agent.

Evidence: TestLostAgentEndsItsTransits failed before ("starts at b 0s after the loss").

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -68,6 +68,9 @@
 	// RunsOfOthersEndAfter is the time after which runs that another home has ordered have ended, at
 	// agents that are out of contact with both.
 	RunsOfOthersEndAfter time.Duration
+	// TransitTime is the time from the last contact with an agent until no start that it has sent again is
+	// carried out, and no run of it goes on. Zero means that nothing is known of such starts.
+	TransitTime time.Duration
 	// MaxSealingAgents is the number of agents up to which they are asked to seal a job. A
 	// lost home may have had hundreds of jobs, and each agent is asked about each of them.
 	MaxSealingAgents int
@@ -110,6 +113,7 @@
 	open           []*target                 // the result of openTargets, whose memory is used again
 	minWaitingCPU  int                       // no waiting job has a smaller minCPU
 	pairs          *interference.Detector
+	heldRuns       []heldRun
 	decisions      Decisions
 }
 
@@ -358,6 +362,7 @@
 		c.notePairs(c.pairs.Expire(now))
 	}
 	c.expireAgents(now)
+	c.endHeldRuns(now)
 	c.stopWithdrawn(now)
 	c.expireRunLists(now)
 	c.endOtherHomes(now)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -76,6 +76,7 @@
 	stopping   bool
 	// idle is set while its run does not run, and transitUntil is when no start of the run can be carried out any more.
 	idle         bool
+	isHeld       bool // it is in Core.heldRuns
 	transitUntil time.Time
 	near         bool    // its worker is in the rack of its affinity
 	freed        float64 // its part of target.freed
--- a/schedule/report.go
+++ b/schedule/report.go
@@ -187,6 +187,9 @@
 		if j, ok := c.jobs[r.Task.Job]; ok && j.Stored && !includeStored {
 			continue
 		}
+		if c.holdTransit(now, t, r, reason) {
+			continue
+		}
 		c.applyEvent(now, t, Event{Run: r, End: work.Lapsed, Reason: reason})
 	}
 }
--- a/schedule/transit.go
+++ b/schedule/transit.go
@@ -49,13 +49,59 @@
 	return true
 }
 
+// heldRun is a run of a lost agent, of which a start may still be carried out.
+type heldRun struct {
+	agent  string
+	run    work.Run
+	until  time.Time
+	reason string // why it then counts as lapsed
+}
+
+// holdTransit reports whether the run of a lost agent has to be awaited, as the agent has reported that
+// a start of it may still be carried out.
+func (c *Core) holdTransit(now time.Time, t *target, r work.Run, reason string) bool {
+	j, ok := c.jobs[r.Task.Job]
+	if !ok {
+		return false
+	}
+	tk := j.task(r)
+	if tk.isHeld {
+		return true // endHeldRuns ends it
+	}
+	until := t.lastContact.Add(c.cfg.TransitTime)
+	if c.cfg.TransitTime == 0 || !now.Before(tk.transitUntil) || !now.Before(until) {
+		return false
+	}
+	c.setIdle(now, t, j, tk, r, true)
+	tk.isHeld = true
+	c.heldRuns = append(c.heldRuns, heldRun{t.agent, r, until, reason})
+	return true
+}
+
+// endHeldRuns ends the runs that were held and of which no start can be carried out any more.
+func (c *Core) endHeldRuns(now time.Time) {
+	n := 0
+	for _, h := range c.heldRuns {
+		t, ok := c.targets[h.agent]
+		switch {
+		case !ok || t.runs[h.run.Task] != h.run:
+		case now.Before(h.until):
+			c.heldRuns[n] = h
+			n++
+		default:
+			c.applyEvent(now, t, Event{Run: h.run, End: work.Lapsed, Reason: h.reason})
+		}
+	}
+	c.heldRuns = c.heldRuns[:n]
+}
+
 // releaseRun accounts for the end of the run of a task.
 func (c *Core) releaseRun(t *target, j *job, slot int, tk *task) {
 	if !tk.idle {
 		t.release(j.Step(slot), tk)
 		c.countRunning(j, tk, -tk.speed)
 	}
-	tk.idle, tk.transitUntil = false, time.Time{}
+	tk.idle, tk.isHeld, tk.transitUntil = false, false, time.Time{}
 }
 
 // TransitVersion returns the version of the last report of an agent on starts in transit.
--- a/schedule/transit_test.go
+++ b/schedule/transit_test.go
@@ -50,3 +50,33 @@
 		h.wantStarts("a", 3)
 	}
 }
+
+// TestLostAgentEndsItsTransits guards against a second run: an agent reports that a start may still be carried out,
+// and is lost or restarts, so its home takes the run for lost and starts the task elsewhere.
+func TestLostAgentEndsItsTransits(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		for _, idle := range []bool{false, true} {
+			h := newHarness(t)
+			h.addAgent("a", 1)
+			j := job("j", 0, 1, 100*time.Millisecond)
+			j.Left, j.Queue.Target = time.Minute, time.Minute
+			h.submit(j)
+			h.addAgent("b", 1)
+			first := h.starts["a"][0]
+			h.reportTransit("a", 1, schedule.TransitRun{Run: first, Idle: idle, Left: 11 * time.Second})
+			lostAt := h.now
+			if restarts {
+				h.c.Report(h.now, "a", &schedule.Report{Life: "2", Target: h.agents["a"], Settled: true})
+				h.collect()
+			}
+			h.advance(cfg.TransitTime-10*time.Millisecond, "a")
+			if agent, last := h.lastStart(first.Task); last != first {
+				t.Fatalf("restarts %t: %v starts at %s %v after the loss", restarts, last, agent, h.now.Sub(lostAt))
+			}
+			h.advance(50*time.Millisecond, "a")
+			if agent, last := h.lastStart(first.Task); agent != "b" || last == first {
+				t.Errorf("restarts %t: the task does not start again", restarts)
+			}
+		}
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -59,14 +59,17 @@
 //     carries out the stop,
 //   - renewContactAge and workerLease after that contact in any case.
 const (
-	workerLease           = 600 * time.Millisecond            // covers three lost polls
-	pollWait              = 100 * time.Millisecond            // a poll returns at the end of a run, or after this time
-	pollSlack             = 50 * time.Millisecond             // for the answer to a poll that has waited
-	pollers               = 2                                 // concurrent polls, since one of them may get no answer
-	workerContactTimeout  = 250 * time.Millisecond            // a worker that has answered no poll for this long gets no new task
-	stallAge              = 250 * time.Millisecond            // a run without progress for this long counts as stalled
-	orderTimeout          = 60 * time.Millisecond             // after which a start counts as unanswered; answers take 2 ms
-	orderDelay            = 12 * time.Second                  // within which a worker carries out an order that it does not answer
+	workerLease          = 600 * time.Millisecond // covers three lost polls
+	pollWait             = 100 * time.Millisecond // a poll returns at the end of a run, or after this time
+	pollSlack            = 50 * time.Millisecond  // for the answer to a poll that has waited
+	pollers              = 2                      // concurrent polls, since one of them may get no answer
+	workerContactTimeout = 250 * time.Millisecond // a worker that has answered no poll for this long gets no new task
+	stallAge             = 250 * time.Millisecond // a run without progress for this long counts as stalled
+	orderTimeout         = 60 * time.Millisecond  // after which a start counts as unanswered; answers take 2 ms
+	orderDelay           = 12 * time.Second       // within which a worker carries out an order that it does not answer
+	// transitTime is the time from the last contact with an agent until no start that it has sent is carried
+	// out, and no run of such a start goes on.
+	transitTime           = orderMaxAge + orderTimeout + orderDelay + 1100*time.Millisecond
 	leaseEndsAfter        = workerLease + 40*time.Millisecond // the worker's clock may be 2% slow
 	workerStopTime        = 100 * time.Millisecond            // in which a worker carries out a stop, one lost message included; the lease is not renewed after it
 	agentTickInterval     = stopRunsAfter / 4
@@ -168,7 +171,7 @@
 func HomeConfig(n *platform.Node) schedule.Config {
 	return schedule.Config{
 		SuspectAfter: suspectAfter, SuspectIdleAfter: suspectIdleAfter, RunsLostAfter: runsLostAfter, StoredRunsLostAfter: storedRunsLostAfter, RemoteFactor: n.RemoteFactor, CutoffFactor: 3, Margin: 5 * time.Millisecond,
-		MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents, RunsOfOthersEndAfter: RunsOfLostHomeEndAfter, ColdOverage: n.ColdOverage, ColdSlack: n.ColdSlack,
+		TransitTime: transitTime, MaxRemembered: 4096, MaxQueued: 20000, MaxSealingAgents: maxSealingAgents, RunsOfOthersEndAfter: RunsOfLostHomeEndAfter, ColdOverage: n.ColdOverage, ColdSlack: n.ColdSlack,
 	}
 }
 
