Free the room of a waiting run once as the home loses the ledger

What callers would see: starts that the worker refuses for want of room. The room of a run whose start may still be carried out is free already, and was freed again when the home dropped its stored jobs.

Change: dropStoredJobs releases runs as an end does. TestDroppedTransitFreesRoomTwice failed before: three starts at a worker with room for one, want two.

--- a/schedule/stored.go
+++ b/schedule/stored.go
@@ -63,7 +63,7 @@
 			if j, ok := c.jobs[r.Task.Job]; ok && j.Stored {
 				delete(t.runs, r.Task)
 				slot := j.Slot(r.Task)
-				t.release(j.Step(slot), &j.tasks[slot][r.Task.Index])
+				c.releaseRun(t, j, slot, &j.tasks[slot][r.Task.Index])
 			}
 		}
 	}
--- a/schedule/transit_test.go
+++ b/schedule/transit_test.go
@@ -80,3 +80,19 @@
 		}
 	}
 }
+
+// TestDroppedTransitFreesRoomTwice guards against a worker that gets more than it has room for, after its home
+// has lost the ledger while a run waits.
+func TestDroppedTransitFreesRoomTwice(t *testing.T) {
+	h := newHarness(t)
+	h.addAgent("a", 1)
+	h.setTenure(2)
+	h.confirm("a", 2, nil)
+	h.restore("j", 1)
+	h.wantStarts("a", 1)
+	h.reportTransit("a", 1, schedule.TransitRun{Run: h.starts["a"][0], Idle: true, Left: 11 * time.Second})
+	h.c.SetTenure(h.now, schedule.Tenure{})
+	h.submit(job("j1", 0, 1, 100*time.Millisecond))
+	h.submit(job("j2", 0, 1, 100*time.Millisecond))
+	h.wantStarts("a", 2)
+}
