--- a/failure/fleet_random_test.go
+++ b/failure/fleet_random_test.go
@@ -39,9 +39,6 @@
 	restartsUnderSameID = "workers return under the same ID"
 )
 
-// knownRedFaults matches what the entry 8 of KNOWN-RED.txt needs.
-const knownRedFaults = restartsUnderSameID
-
 // randomDigit is the first digit of the IDs of jobs whose next two digits are their run
 // time in tenths of a second.
 const randomDigit = 'f'
@@ -62,9 +59,6 @@
 // run of which all submissions were rejected.
 func TestFleetUnderRandomFaults(t *testing.T) {
 	without, only := regexp.MustCompile(*randomWithout), regexp.MustCompile(*randomOnly)
-	if !*runKnownRed {
-		without = regexp.MustCompile("(" + *randomWithout + ")|" + knownRedFaults)
-	}
 	kinds := slices.DeleteFunc(slices.Clone(randomKinds), func(k randomFault) bool { return without.MatchString(k.name) || !only.MatchString(k.name) })
 	for seed := *randomSeed; seed < *randomSeed+uint64(*randomSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
