Take the answer to a start whose run was listed before

What callers would see: a run that goes on although its stop was ordered. A list showed the run before the answer to its start came, as polls and starts cross; the answer was ignored, so the run counted as not answered and got no stop.

Change: whether the call has ended and whether the start was carried out are two marks. A home is told when a start that was in transit was carried out, and the wait for a worker that does not answer counts from the end of the last call. TestListOvertakesAnswer failed before ("orders [], want a stop").

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -68,8 +68,9 @@
 	// RunsOfOthersEndAfter is the time after which runs that another home has ordered have ended, at
 	// agents that are out of contact with both.
 	RunsOfOthersEndAfter time.Duration
-	// TransitTime is the time from the last contact with an agent until no start that it has sent again is
-	// carried out, and no run of it goes on. Zero means that nothing is known of such starts.
+	// TransitTime is the time from the last contact with an agent until none of the starts that it has sent
+	// is carried out any more and no run goes on that such a start has begun. Zero means that it is not known;
+	// then nothing is awaited at a lost agent.
 	TransitTime time.Duration
 	// MaxSealingAgents is the number of agents up to which they are asked to seal a job. A
 	// lost home may have had hundreds of jobs, and each agent is asked about each of them.
@@ -113,7 +114,7 @@
 	open           []*target                 // the result of openTargets, whose memory is used again
 	minWaitingCPU  int                       // no waiting job has a smaller minCPU
 	pairs          *interference.Detector
-	heldRuns       []heldRun
+	heldRuns       []heldRun // of lost agents
 	decisions      Decisions
 }
 
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -74,9 +74,9 @@
 	wasCold    bool             // the worker was cold when the task was placed
 	beside     interference.Set // kinds that ran on the worker when the task was placed
 	stopping   bool
-	// idle is set while its run does not run, and transitUntil is when no start of the run can be carried out any more.
-	idle         bool
-	isHeld       bool // it is in Core.heldRuns
+	idle       bool // its run waits and takes no room; see takeTransits
+	isHeld     bool // its run is in Core.heldRuns
+	// transitUntil is when no start of its run can be carried out any more; zero if none can be.
 	transitUntil time.Time
 	near         bool    // its worker is in the rack of its affinity
 	freed        float64 // its part of target.freed
--- a/site/site.go
+++ b/site/site.go
@@ -67,8 +67,8 @@
 	stallAge             = 250 * time.Millisecond // a run without progress for this long counts as stalled
 	orderTimeout         = 60 * time.Millisecond  // after which a start counts as unanswered; answers take 2 ms
 	orderDelay           = 12 * time.Second       // within which a worker carries out an order that it does not answer
-	// transitTime is the time from the last contact with an agent until no start that it has sent is carried
-	// out, and no run of such a start goes on.
+	// transitTime is the time from the last contact with an agent until the last start that it has sent is
+	// carried out and the longest lease of a worker (1 s) has ended.
 	transitTime           = orderMaxAge + orderTimeout + orderDelay + 1100*time.Millisecond
 	leaseEndsAfter        = workerLease + 40*time.Millisecond // the worker's clock may be 2% slow
 	workerStopTime        = 100 * time.Millisecond            // in which a worker carries out a stop, one lost message included; the lease is not renewed after it
--- a/worker/claim.go
+++ b/worker/claim.go
@@ -149,7 +149,7 @@
 			add(r.start.Run, r.entry)
 		}
 	}
-	for _, t := range g.transits {
+	for _, t := range g.endedTransits {
 		add(t.run, t.entry)
 	}
 	return runs
--- a/worker/order.go
+++ b/worker/order.go
@@ -87,7 +87,7 @@
 func (g *Guard) sendStart(now time.Time, r *run) {
 	r.phase, r.token, r.sentAt, r.born, r.kind = ordered, g.token, now, g.target.Born, g.target
 	r.sent++
-	r.awaitsAnswer = true
+	r.awaitsAnswer, r.carriedOut = true, false
 	g.orders = append(g.orders, Order{Worker: g.target.ID, Start: r.start, Token: g.token, Until: g.LeaseUntil(now), Home: r.entry, Born: r.born})
 }
 
@@ -143,7 +143,7 @@
 	if !ok || known.start.Run != r || !known.awaitsAnswer {
 		return
 	}
-	g.orderUnanswered(now, known)
+	g.markUnanswered(now, known)
 	if known.phase == ordered {
 		g.fenceStart(known)
 	}
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		known.listed()
-		if known.carriedOut(); known.phase == inTransit {
+		if g.markListed(known); known.phase == inTransit {
 			g.setTransitChanged(known)
 		}
 		g.updateProgress(now, known, snapshot.Running[r])
@@ -249,13 +249,15 @@
 	if g.cfg.OrderDelay == 0 {
 		return false // a poll decides
 	}
-	lastOrder := r.sentAt
-	if g.renewedAt.After(lastOrder) {
-		lastOrder = g.renewedAt
-	}
 	if r.isTransitPossible(now) {
 		return false
 	}
+	lastOrder := g.renewedAt
+	for _, at := range []time.Time{r.sentAt, r.transitUntil.Add(-g.cfg.OrderDelay)} {
+		if at.After(lastOrder) {
+			lastOrder = at
+		}
+	}
 	longestLease := time.Duration(float64(max(g.cfg.LongestLease, g.cfg.Lease)) * maxClockDrift)
 	return now.Sub(lastOrder) > g.cfg.OrderDelay+longestLease+leaseSlack
 }
--- a/worker/seal.go
+++ b/worker/seal.go
@@ -77,7 +77,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(g.transits, func(t transit) bool { return q.covers(t.run, t.entry) })
+	return slices.ContainsFunc(g.endedTransits, func(t endedTransit) bool { return q.covers(t.run, t.entry) })
 }
 
 // forgetSeals removes the requests of entries that were removed, and seals of which no
--- a/worker/transit.go
+++ b/worker/transit.go
@@ -22,27 +22,32 @@
 
 // isTransitPossible reports whether a start of the run may still be carried out.
 func (r *run) isTransitPossible(now time.Time) bool {
-	return r.awaitsAnswer || now.Before(r.transitUntil)
+	return !r.carriedOut && (r.awaitsAnswer || now.Before(r.transitUntil))
 }
 
-// orderUnanswered records that the last start of the run gets no answer. The call that sent it has ended.
-func (g *Guard) orderUnanswered(now time.Time, r *run) {
+// markUnanswered records that the last start of the run gets no answer. The call that sent it has ended.
+func (g *Guard) markUnanswered(now time.Time, r *run) {
 	r.awaitsAnswer = false
-	if g.cfg.OrderDelay > 0 {
+	if g.cfg.OrderDelay > 0 && !r.carriedOut {
 		r.transitUntil = now.Add(g.cfg.OrderDelay)
 		g.setTransitChanged(r)
 	}
 }
 
-// carriedOut records that a start of the run was carried out.
-func (r *run) carriedOut() {
-	if r.sent == 1 {
-		r.awaitsAnswer, r.transitUntil = false, time.Time{}
+// markListed records that the worker lists the run, as running or as ended.
+func (g *Guard) markListed(r *run) {
+	if r.sent != 1 {
+		return // another start of it may be left
+	}
+	r.carriedOut = true
+	if !r.transitUntil.IsZero() {
+		r.transitUntil = time.Time{}
+		g.setTransitChanged(r)
 	}
 }
 
-// transit is a run that has ended while a start of it may be left.
-type transit struct {
+// endedTransit is a run that was reported as done while a start of it may be left.
+type endedTransit struct {
 	run   work.Run
 	entry string
 	until time.Time
@@ -59,7 +64,8 @@
 	g.transitChanges = append(g.transitChanges, TransitChange{Run: r.start.Run, Home: r.entry, Left: r.transitUntil.Sub(now), End: end, Reason: reason})
 }
 
-// fenceTransits has a list awaited that proves the end of the runs of which no start is left.
+// fenceTransits has a list awaited that proves the end of the runs of which no start is left, and forgets
+// ended ones.
 func (g *Guard) fenceTransits(now time.Time) {
 	raised := false
 	for _, r := range g.runs {
@@ -73,14 +79,14 @@
 		r.fence = g.token
 	}
 	n := 0
-	for _, t := range g.transits {
+	for _, t := range g.endedTransits {
 		if now.Before(t.until) {
-			g.transits[n] = t
+			g.endedTransits[n] = t
 			n++
 		}
 	}
-	if n < len(g.transits) {
-		g.transits = g.transits[:n]
+	if n < len(g.endedTransits) {
+		g.endedTransits = g.endedTransits[:n]
 		g.answerSeals()
 	}
 }
--- a/worker/transit_test.go
+++ b/worker/transit_test.go
@@ -213,3 +213,23 @@
 	d.g.Tick(d.now)
 	d.wantSealed(1000)
 }
+
+// TestListOvertakesAnswer guards against a run that can not be stopped, as a list showed it before the answer to
+// its start came.
+func TestListOvertakesAnswer(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := newDriver(t)
+		d.order(start(0, 1, 10))
+		d.answerPoll(1, run(0, 1))
+		if answered {
+			d.g.Started(d.now, run(0, 1), "", false)
+		} else {
+			d.g.Unanswered(d.now, run(0, 1))
+			d.answerPoll(1, run(0, 1))
+		}
+		d.orderStop(run(0, 1))
+		d.wantStop("ordered by its home")
+		d.answerPollWithEnd(work.Stopped, run(0, 1))
+		d.lastEvent(work.Stopped)
+	}
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -14,7 +14,8 @@
 // raises its fencing token: once the worker has acknowledged the higher token,
 // it carries out no order with a lower one, and its lists of runs and of ends are
 // final for those orders. A list of ends that is cut off is not: a run that it does not
-// show may have ended.
+// show may have ended. Nor does a list tell what the next incarnation of the worker carries
+// out, which has seen no token; see transit.go.
 //
 // While a stop is overdue, the agent withholds the lease of its worker, which ends the run
 // with the lease. An agent follows one home at a time, and tells it which runs of others are left; see
@@ -100,6 +101,7 @@
 	kind            work.Target   // the worker as its start was last sent
 	sent            int           // starts that were sent and not refused
 	awaitsAnswer    bool          // the call that sent the last one has not ended
+	carriedOut      bool          // the only one that was sent was carried out
 	transitVersion  uint64        // of its last change with regard to its starts in transit
 	transitUntil    time.Time     // until then a start without an answer may be carried out; zero if there is none
 	end             work.End      // with which it ends once no start is left; see inTransit
@@ -166,7 +168,7 @@
 	evacuated        evacuation.Set
 	startsHeld       bool // until the evacuated data centres are known
 	history          history
-	transits         []transit
+	endedTransits    []endedTransit
 	transitVersion   uint64          // of the last change of a run with regard to its starts in transit
 	transitChanges   []TransitChange // not taken yet
 }
@@ -324,14 +326,14 @@
 func (g *Guard) finishListed(now time.Time, ref work.TaskRef, endNumber uint64, end work.End, reason string) {
 	r := g.runs[ref]
 	if endNumber > 0 {
-		r.carriedOut()
+		g.markListed(r)
 	}
 	if r.isTransitPossible(now) {
 		if end != work.Done || !r.start.MayRepeat() {
 			g.awaitTransit(now, r, end, reason, endNumber > 0)
 			return
 		}
-		g.transits = append(g.transits, transit{run: r.start.Run, entry: r.entry, until: now.Add(g.cfg.OrderDelay + g.cfg.WorkerContactTimeout)})
+		g.endedTransits = append(g.endedTransits, endedTransit{run: r.start.Run, entry: r.entry, until: now.Add(g.cfg.OrderDelay + g.cfg.WorkerContactTimeout)})
 	}
 	delete(g.runs, ref)
 	g.recordStopped(now, r, end)
